--- /dev/null
+++ b/include/limpetpier/coordination/searcher_gate.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "limpetpier/coordination/cold_ramp.h"
+#include "limpetpier/coordination/latency_histogram.h"
+#include "limpetpier/state/clock.h"
+#include "limpetpier/state/ids.h"
+#include "limpetpier/state/outcome.h"
+
+namespace limpetpier {
+
+using gate_token = number_id<struct gate_token_tag>;
+
+// A sub-request that waits for a slot of one searcher.
+struct gate_item {
+    gate_token token;
+    monotonic_time deadline;
+    bool hedge = false; // hedges go before first tries: their query waits for nothing else
+    std::uint32_t priority = 1; // 0 goes first
+};
+
+// How a started sub-request ended, as far as the searcher's slot is concerned.
+enum class slot_end : std::uint8_t {
+    served, // a whole reply came
+    refused, // the target shed it, or no connection came up
+    cut, // the connection broke: the target may still be running it
+    cancelled, // the target confirmed the cancellation
+};
+
+// Decides when the owner of one searcher sends to it: slots, a bounded queue and the cold ramp.
+//
+// The queue is bounded by time: a sub-request whose expected wait exceeds its remaining deadline is refused at once.
+class searcher_gate {
+public:
+    searcher_gate(std::uint32_t slots, std::uint32_t coldAllowance);
+
+    // Queues an item, or says why it is refused.
+    std::optional<reason> offer(const gate_item& item, monotonic_time now);
+
+    // The next item to send now, if the searcher bears one more.
+    std::optional<gate_item> startNext(monotonic_time now);
+
+    // Takes a queued item back; false if it is not queued (any more).
+    bool withdraw(gate_token token);
+
+    // Removes and returns queued items whose deadline has passed.
+    std::vector<gate_token> takeExpired(monotonic_time now);
+
+    // Removes and returns everything queued.
+    std::vector<gate_token> takeAll();
+
+    // Ends a started item. typical is the usual service time of warm searchers of the same front, if known.
+    void finish(gate_token token, slot_end end, microseconds serviceTime, std::optional<microseconds> typical, monotonic_time now);
+
+    // Evidence that did not come with an item.
+    void observe(searcher_evidence evidence);
+
+    [[nodiscard]] std::uint32_t running(monotonic_time now);
+    [[nodiscard]] std::size_t queued() const { return m_queue.size(); }
+    [[nodiscard]] std::uint32_t allowance() const { return m_ramp.allowance(); }
+    [[nodiscard]] ramp_state state() const { return m_ramp.state(); }
+    [[nodiscard]] microseconds expectedWait(const gate_item& item) const;
+
+private:
+    static bool goesBefore(const gate_item& left, const gate_item& right);
+
+    cold_ramp m_ramp;
+    std::deque<gate_item> m_queue;
+    std::map<gate_token, monotonic_time> m_running; // token -> deadline
+    std::vector<monotonic_time> m_lingering; // cut items that the target may run until then
+    double m_meanServiceUs;
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/include/limpetpier/transport/settings.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace limpetpier {
+
+enum class setting_kind : std::uint8_t {
+    text,
+    address, // IP:port
+    number,
+};
+
+// One setting of a program; the table of them yields the flags, the environment variables and --help.
+struct setting {
+    std::string flag; // --flag; its environment variable is LIMPET_FLAG with _ for -
+    std::string fallback; // empty and required: must be given
+    std::string help; // with the unit
+    setting_kind kind = setting_kind::text;
+    bool required = false;
+    std::int64_t least = 0;
+    std::int64_t most = 0;
+    bool secret = false; // environment only, never a flag, never shown
+};
+
+// Checked settings of a process.
+//
+//     const auto settings = program_settings::read("limpet-front", "Serves callers.", table, argc, argv);
+//     settings.number("workers");
+class program_settings {
+public:
+    // Reads flags, then the environment, then defaults. Throws settings_error; prints and exits 0 for --help.
+    static program_settings read(const std::string& program, const std::string& summary, const std::vector<setting>& table, int argc, char** argv);
+
+    [[nodiscard]] const std::string& text(const std::string& flag) const;
+    [[nodiscard]] std::int64_t number(const std::string& flag) const;
+    [[nodiscard]] std::vector<std::string> list(const std::string& flag) const; // comma-separated
+    [[nodiscard]] const std::vector<std::string>& positional() const { return m_positional; }
+
+private:
+    std::map<std::string, std::string> m_values;
+    std::vector<std::string> m_positional;
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/ctl/document_editor.cc
@@ -0,0 +1,59 @@
+#include "document_editor.h"
+
+#include <boost/asio.hpp>
+
+#include "limpetpier/state/errors.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr milliseconds storeTimeout { 1000 };
+constexpr milliseconds retryPause { 100 };
+constexpr int maxTries = 50;
+
+operator_document parseStored(const store_value& stored)
+{
+    return stored.version == 0 ? operator_document {} : parseDocument(stored.text);
+}
+
+} // namespace
+
+document_editor::document_editor(asio::any_io_executor executor, const std::string& storeAddress)
+    : m_executor(executor)
+    , m_store(executor, storeAddress, storeTimeout)
+{
+}
+
+awaitable<operator_document> document_editor::read()
+{
+    co_return parseStored(co_await m_store.get(documentKey));
+}
+
+awaitable<edit_result> document_editor::apply(section_edit edit)
+{
+    bool answerWasLost = false;
+    asio::steady_timer timer(m_executor);
+    for (int attempt = 0; attempt < maxTries; ++attempt) {
+        try {
+            const auto stored = co_await m_store.get(documentKey);
+            const auto current = parseStored(stored);
+            if (containsEdit(current, edit.id))
+                co_return edit_result { current.revision, current.sections.at(edit.section).version, answerWasLost };
+            const auto next = applyEdit(current, edit);
+            answerWasLost = true;
+            if (co_await m_store.compareAndSwap(documentKey, stored.version, formatDocument(next)))
+                co_return edit_result { next.revision, next.sections.at(edit.section).version, false };
+            answerWasLost = false;
+            continue;
+        } catch (const store_unavailable&) {
+            if (attempt + 1 == maxTries)
+                throw;
+        }
+        timer.expires_after(retryPause);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    throw store_unavailable("platform store: the document changed " + std::to_string(maxTries) + " times in a row; read it with limpetctl show before applying again");
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/dispatch/cluster_agent.cc
@@ -0,0 +1,518 @@
+#include "cluster_agent.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <random>
+
+#include "limpetpier/coordination/ownership.h"
+#include "limpetpier/coordination/section_edit.h"
+#include "limpetpier/state/errors.h"
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr milliseconds probeInterval { 400 };
+constexpr milliseconds watchWait { 10'000 };
+constexpr milliseconds storeRetryDelay { 300 };
+constexpr milliseconds proposeInterval { 200 };
+
+// Members that watch the store; the others learn from them.
+constexpr std::size_t readerCount = 3;
+
+// Probes whose acknowledgement is still waited for.
+constexpr std::size_t maxOpenProbes = 4096;
+
+std::string number(std::uint64_t value)
+{
+    return std::to_string(value);
+}
+
+} // namespace
+
+cluster_agent::cluster_agent(asio::any_io_executor executor, cluster_agent_settings settings, const node_codec& codec, link_directory& links, cluster_hooks hooks)
+    : m_executor(std::move(executor))
+    , m_settings(std::move(settings))
+    , m_links(links)
+    , m_hooks(std::move(hooks))
+    , m_store(m_executor, m_settings.storeAddress, m_settings.storeTimeout)
+    , m_epoch(std::make_shared<const assignment_epoch>())
+    , m_document(std::make_shared<const operator_document>())
+    , m_right(m_settings.self.id)
+    , m_fence(m_settings.self.id, longestDeadline)
+    , m_suspicions(m_settings.self.id)
+    , m_keys(m_settings.self.id, m_settings.self.incarnation, wallNow())
+{
+    (void)codec;
+}
+
+cluster_agent::~cluster_agent() = default;
+
+void cluster_agent::start()
+{
+    asio::co_spawn(asio::make_strand(m_executor), followDocument(), asio::detached);
+    asio::co_spawn(asio::make_strand(m_executor), followEpoch(), asio::detached);
+    asio::co_spawn(asio::make_strand(m_executor), probeLoop(), asio::detached);
+    asio::co_spawn(asio::make_strand(m_executor), proposeLoop(), asio::detached);
+}
+
+void cluster_agent::leave()
+{
+    m_leaving = true;
+}
+
+bool cluster_agent::hasLeft() const
+{
+    return m_left;
+}
+
+epoch_view cluster_agent::epoch() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_epoch;
+}
+
+document_view cluster_agent::document() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_document;
+}
+
+std::string cluster_agent::documentText() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_documentText;
+}
+
+bool cluster_agent::maySend(const searcher_id& searcher, monotonic_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_owned.find(searcher);
+    return found != m_owned.end() && found->second.active && m_right.fresh(now);
+}
+
+bool cluster_agent::owns(const searcher_id& searcher) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_owned.contains(searcher);
+}
+
+bool cluster_agent::rightIsFresh(monotonic_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_right.fresh(now);
+}
+
+bool cluster_agent::isMember() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto* member = m_epoch->find(m_settings.self.id);
+    return member && member->incarnation == m_settings.self.incarnation;
+}
+
+std::optional<wall_time> cluster_agent::floorFor(const idempotency_key& key) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_keys.floorFor(key);
+}
+
+std::optional<wall_time> cluster_agent::floorToPassOn(epoch_number epoch) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_keys.floorToPassOn(epoch);
+}
+
+std::optional<epoch_number> cluster_agent::joinedEpoch() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_keys.joined();
+}
+
+std::size_t cluster_agent::ownedCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_owned.size();
+}
+
+std::size_t cluster_agent::pendingCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_owned.begin(), m_owned.end(), [](const auto& entry) { return !entry.second.active; }));
+}
+
+void cluster_agent::recordHandover(const handover_message& message)
+{
+    const std::lock_guard lock(m_mutex);
+    m_keys.handedOver(message.from, message.epoch, wall_time { milliseconds { message.floorWallMs } });
+}
+
+void cluster_agent::offerState(const state_reply& state)
+{
+    offerDocument(state.documentText);
+    offerEpoch(state.epoch);
+}
+
+awaitable<void> cluster_agent::pause(milliseconds delay)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, delay);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+// The few members that read the store, and everybody who is no member yet.
+bool cluster_agent::isReader() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto& members = m_epoch->members;
+    const auto position = std::find_if(members.begin(), members.end(), [&](const epoch_member& member) { return member.id == m_settings.self.id; });
+    return position == members.end() || static_cast<std::size_t>(position - members.begin()) < readerCount;
+}
+
+awaitable<void> cluster_agent::followDocument()
+{
+    std::uint64_t known = 0;
+    for (;;) {
+        bool failed = false;
+        try {
+            if (isReader()) {
+                ++m_storeCalls;
+                const auto stored = co_await m_store.watch(documentKey, known, watchWait);
+                noteStore(true);
+                known = stored.version;
+                if (stored.version > 0)
+                    offerDocument(stored.text);
+                co_await repairDocument(stored);
+            } else {
+                co_await pause(storeRetryDelay);
+            }
+        } catch (const std::exception&) {
+            failed = true;
+            known = 0;
+        }
+        if (failed) {
+            noteStore(false);
+            askPeers();
+            co_await pause(storeRetryDelay);
+        }
+    }
+}
+
+// Writes the document in force back to a store that was restored to an older one.
+awaitable<void> cluster_agent::repairDocument(store_value stored)
+{
+    const auto inForce = document();
+    if (inForce->revision == revision_number {})
+        co_return;
+    revision_number storedRevision;
+    if (stored.version > 0)
+        storedRevision = parseDocument(stored.text).revision;
+    if (storedRevision >= inForce->revision)
+        co_return;
+    ++m_storeCalls;
+    if (co_await m_store.compareAndSwap(documentKey, stored.version, formatDocument(*inForce)))
+        logEvent(event::document_repaired, "stored=" + number(storedRevision.value()) + " in_force=" + number(inForce->revision.value()));
+}
+
+awaitable<void> cluster_agent::followEpoch()
+{
+    std::uint64_t known = 0;
+    for (;;) {
+        bool failed = false;
+        try {
+            if (isReader()) {
+                ++m_storeCalls;
+                const auto stored = co_await m_store.watch(epochKey, known, watchWait);
+                noteStore(true);
+                known = stored.version;
+                if (stored.version > 0)
+                    offerEpoch(parseEpoch(stored.text));
+            } else {
+                co_await pause(storeRetryDelay);
+            }
+        } catch (const std::exception&) {
+            failed = true;
+            known = 0;
+        }
+        if (failed)
+            co_await pause(storeRetryDelay);
+    }
+}
+
+void cluster_agent::askPeers()
+{
+    std::set<std::string> addresses(m_settings.peers.begin(), m_settings.peers.end());
+    for (const auto& member : epoch()->members)
+        addresses.insert(member.address);
+    addresses.erase(m_settings.self.address);
+    for (const auto& address : addresses)
+        m_links.send(address, state_request {});
+}
+
+void cluster_agent::noteStore(bool up)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_storeIsUp, up) == up)
+            return;
+    }
+    logEvent(up ? event::store_up : event::store_down, "address=" + m_settings.storeAddress);
+}
+
+// Advances the epoch in the store by one change; a lost answer or a race is settled by reading again.
+awaitable<void> cluster_agent::propose(std::function<std::optional<assignment_epoch>(const assignment_epoch&)> change)
+{
+    ++m_storeCalls;
+    const auto stored = co_await m_store.get(epochKey);
+    assignment_epoch current;
+    if (stored.version > 0)
+        current = parseEpoch(stored.text);
+    if (const auto known = epoch(); known->number > current.number)
+        current = *known; // the store was restored to an older epoch
+    offerEpoch(current);
+    const auto next = change(current);
+    if (!next)
+        co_return;
+    ++m_storeCalls;
+    if (!co_await m_store.compareAndSwap(epochKey, stored.version, formatEpoch(*next)))
+        co_return;
+    logEvent(event::epoch_proposed, "epoch=" + number(next->number.value()) + " members=" + number(next->members.size()));
+    offerEpoch(*next);
+}
+
+awaitable<void> cluster_agent::proposeLoop()
+{
+    std::mt19937 random { std::random_device {}() };
+    for (;;) {
+        co_await pause(milliseconds { std::uniform_int_distribution<int>(static_cast<int>(proposeInterval.count()) / 2, static_cast<int>(proposeInterval.count()))(random) });
+        try {
+            if (m_leaving) {
+                if (!m_left) {
+                    co_await propose([&](const assignment_epoch& current) { return withoutMember(current, m_settings.self.id); });
+                    m_left = !epoch()->contains(m_settings.self.id);
+                }
+                continue;
+            }
+            if (!isMember()) {
+                co_await propose([&](const assignment_epoch& current) { return withMember(current, m_settings.self); });
+                continue;
+            }
+            std::vector<node_id> dead;
+            {
+                const std::lock_guard lock(m_mutex);
+                dead = m_suspicions.removable(monotonic_clock::now());
+            }
+            for (const auto& member : dead) {
+                logEvent(event::member_suspected, "member=" + member.value());
+                co_await propose([&](const assignment_epoch& current) { return withoutMember(current, member); });
+            }
+        } catch (const std::exception&) {
+            // The store is down: the epoch stays as it is.
+        }
+    }
+}
+
+void cluster_agent::offerEpoch(assignment_epoch epoch)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (epoch.number <= m_epoch->number)
+            return;
+        const auto previous = m_epoch;
+        const auto now = monotonic_clock::now();
+        m_epoch = std::make_shared<const assignment_epoch>(std::move(epoch));
+        m_right.adopt(*m_epoch, m_document->revision);
+        m_fence.adopt(*m_epoch, m_document->revision, now);
+        m_suspicions.adopt(*m_epoch, now);
+        m_keys.adopt(*m_epoch, wallNow());
+        recomputeOwnership(m_document.get(), previous.get());
+    }
+    logEvent(event::epoch_adopted, "epoch=" + number(this->epoch()->number.value()) + " owned=" + number(ownedCount()) + " pending=" + number(pendingCount()));
+    m_hooks.onChange();
+}
+
+void cluster_agent::offerDocument(const std::string& text)
+{
+    if (text.empty())
+        return;
+    document_view offered;
+    try {
+        offered = std::make_shared<const operator_document>(parseDocument(text));
+    } catch (const document_error& error) {
+        logEvent(event::document_invalid, error.what());
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto decision = decideRevision(m_document->revision, offered->revision);
+        if (decision == revision_decision::same)
+            return;
+        if (decision == revision_decision::older) {
+            logEvent(event::document_older, "offered=" + number(offered->revision.value()) + " in_force=" + number(m_document->revision.value()));
+            return;
+        }
+        const auto previous = std::exchange(m_document, offered);
+        m_documentText = text;
+        m_right.adopt(*m_epoch, m_document->revision);
+        m_fence.adopt(*m_epoch, m_document->revision, monotonic_clock::now());
+        recomputeOwnership(previous.get(), m_epoch.get());
+    }
+    logEvent(event::document_adopted, "revision=" + number(offered->revision.value()) + " fronts=" + number(offered->fronts.size()));
+    m_hooks.onChange();
+}
+
+void cluster_agent::recomputeOwnership(const operator_document* previousDocument, const assignment_epoch* previousEpoch)
+{
+    std::map<searcher_id, ownership> owned;
+    for (const auto& [id, front] : m_document->fronts) {
+        const auto before = previousDocument->fronts.find(id);
+        for (const auto& searcher : front.searchers) {
+            if (ownerOf(m_epoch->members, front, searcher) != m_settings.self.id)
+                continue;
+            auto& entry = owned[searcher.id];
+            const auto known = m_owned.find(searcher.id);
+            if (known != m_owned.end() && known->second.active) {
+                entry.active = true;
+                continue;
+            }
+            if (known != m_owned.end())
+                entry.earlierOwners = known->second.earlierOwners;
+            for (const auto& past : m_epoch->history) {
+                if (const auto owner = ownerOf(past.members, front, searcher))
+                    entry.earlierOwners.insert(*owner);
+            }
+            if (before != previousDocument->fronts.end()) {
+                if (const auto owner = ownerOf(previousEpoch->members, before->second, searcher))
+                    entry.earlierOwners.insert(*owner);
+            }
+            entry.earlierOwners.erase(m_settings.self.id);
+        }
+    }
+    m_owned = std::move(owned);
+    activatePassed(monotonic_clock::now());
+}
+
+void cluster_agent::activatePassed(monotonic_time now)
+{
+    for (auto& [searcher, entry] : m_owned)
+        entry.active = entry.active || m_fence.passed(entry.earlierOwners, now);
+    m_keys.checkFences(m_fence, now, wallNow());
+}
+
+std::vector<epoch_member> cluster_agent::probeTargets() const
+{
+    std::set<node_id> wanted(m_right.witnesses().begin(), m_right.witnesses().end());
+    for (const auto& [searcher, entry] : m_owned) {
+        if (entry.active)
+            continue;
+        const auto peers = m_fence.peersToAsk(entry.earlierOwners);
+        wanted.insert(peers.begin(), peers.end());
+    }
+    const auto holders = m_keys.pending();
+    wanted.insert(holders.begin(), holders.end());
+    wanted.erase(m_settings.self.id);
+
+    std::map<node_id, epoch_member> found;
+    for (auto past = m_epoch->history.rbegin(); past != m_epoch->history.rend(); ++past) {
+        for (const auto& member : past->members)
+            found[member.id] = member;
+    }
+    for (const auto& member : m_epoch->members)
+        found[member.id] = member;
+    std::vector<epoch_member> targets;
+    for (const auto& id : wanted) {
+        if (const auto entry = found.find(id); entry != found.end())
+            targets.push_back(entry->second);
+    }
+    return targets;
+}
+
+probe_message cluster_agent::makeProbe(monotonic_time now)
+{
+    probe_message message;
+    const auto* member = m_epoch->find(m_settings.self.id);
+    message.isMember = member && member->incarnation == m_settings.self.incarnation;
+    message.from = m_settings.self.id;
+    message.incarnation = m_settings.self.incarnation;
+    message.epoch = m_epoch->number;
+    message.revision = m_document->revision;
+    message.suspicions = m_suspicions.toShare(now);
+    return message;
+}
+
+awaitable<void> cluster_agent::probeLoop()
+{
+    for (;;) {
+        const bool released = m_hooks.isReleased();
+        std::vector<std::pair<probe_message, epoch_member>> probes;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto now = monotonic_clock::now();
+            m_suspicions.tick(now);
+            activatePassed(now);
+            if (m_probeSentAt.size() > maxOpenProbes)
+                m_probeSentAt.clear();
+            for (const auto& target : probeTargets()) {
+                auto message = makeProbe(now);
+                message.released = released;
+                message.sequence = ++m_probeSequence;
+                m_probeSentAt[message.sequence] = now;
+                probes.emplace_back(std::move(message), target);
+            }
+        }
+        for (const auto& [message, target] : probes)
+            m_probes->send(message, parseUdpEndpoint(target.address));
+        noteRight(monotonic_clock::now());
+        co_await pause(pendingCount() > 0 ? probeInterval / 4 : probeInterval);
+    }
+}
+
+void cluster_agent::noteRight(monotonic_time now)
+{
+    bool fresh = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        fresh = m_right.fresh(now);
+        if (std::exchange(m_rightWasFresh, fresh) == fresh)
+            return;
+    }
+    logEvent(fresh ? event::right_regained : event::right_lost, "ttl_ms=" + number(dispatchRightTtl.count()));
+}
+
+void cluster_agent::onProbe(const probe_message& message, const asio::ip::udp::endpoint& sender)
+{
+    const bool released = m_hooks.isReleased();
+    const auto now = monotonic_clock::now();
+    std::optional<probe_message> ack;
+    bool peerKnowsMore = false;
+    std::string peerAddress;
+    {
+        const std::lock_guard lock(m_mutex);
+        peerKnowsMore = message.epoch > m_epoch->number || message.revision > m_document->revision;
+        if (const auto* member = m_epoch->find(message.from))
+            peerAddress = member->address;
+        if (message.isMember)
+            m_suspicions.heard(message.from, now);
+        m_suspicions.learn(message.suspicions, now);
+        m_fence.heard(message.from, message.epoch, message.revision, message.released, now);
+        if (message.isAck) {
+            const auto sent = m_probeSentAt.find(message.sequence);
+            if (sent != m_probeSentAt.end()) {
+                if (message.isMember)
+                    m_right.acknowledged(message.from, message.epoch, message.revision, sent->second);
+                m_probeSentAt.erase(sent);
+            }
+        } else {
+            ack = makeProbe(now);
+            ack->isAck = true;
+            ack->released = released;
+            ack->sequence = message.sequence;
+        }
+        activatePassed(now);
+    }
+    if (ack)
+        m_probes->send(*ack, sender);
+    if (peerKnowsMore && !peerAddress.empty())
+        m_links.send(peerAddress, state_request {});
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/dispatch/order_service.cc
@@ -0,0 +1,334 @@
+#include "order_service.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <random>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "limpetpier/coordination/ownership.h"
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+namespace {
+
+// Interval at which a request looks again for a decision that depends on others.
+constexpr milliseconds decisionPoll { 5 };
+
+// Records in one hand-over message.
+constexpr std::size_t recordsPerHandover = 500;
+
+// Interval at which a hand-over without acknowledgement is sent again.
+constexpr milliseconds handoverRepeat { 300 };
+
+// Time beyond the deadline for an owner's word that a request was not run.
+constexpr milliseconds lastWordGrace { 8 };
+
+std::uint64_t fingerprintOf(const order_request& request)
+{
+    const auto input = request.front.value() + "\n" + request.text;
+    return XXH3_64bits(input.data(), input.size());
+}
+
+call_reply replyOf(call_number call, outcome result, reason why, std::string answer = {})
+{
+    return { call, result, why, std::move(answer) };
+}
+
+time_budget budgetUntil(monotonic_time deadline)
+{
+    const auto left = std::chrono::duration_cast<microseconds>(deadline - monotonic_clock::now());
+    return { left.count(), wallNow().time_since_epoch().count() };
+}
+
+} // namespace
+
+// One order on its way through the searchers of its front.
+struct order_service::running_order {
+    node_link_handle link;
+    order_request request;
+    front_spec front;
+    monotonic_time deadline;
+    std::vector<searcher_spec> candidates;
+    reason lastReason = reason::no_owner;
+};
+
+order_service::order_service(asio::any_io_executor executor, cluster_agent& agent, search_service& searches, link_directory& links, call_table& calls)
+    : m_executor(std::move(executor))
+    , m_agent(agent)
+    , m_searches(searches)
+    , m_links(links)
+    , m_calls(calls)
+{
+}
+
+void order_service::handleOrder(const node_link_handle& link, const order_request& request)
+{
+    asio::co_spawn(asio::make_strand(m_executor), decide(link, request), asio::detached);
+}
+
+// Waits for what the decision depends on, then decides by key.
+awaitable<void> order_service::decide(node_link_handle link, order_request request)
+{
+    const auto deadline = deadlineOf(request.budget);
+    const auto fingerprint = fingerprintOf(request);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;; timer.expires_after(decisionPoll), co_await timer.async_wait(asio::use_awaitable)) {
+        const auto document = m_agent.document();
+        const auto front = document->fronts.find(request.front);
+        if (front == document->fronts.end() || keyHolderOf(m_agent.epoch()->members, request.key) != m_agent.self()) {
+            link->send(replyOf(request.call, outcome::not_run, reason::not_owner));
+            co_return;
+        }
+        const auto now = monotonic_clock::now();
+        if (now >= deadline) {
+            link->send(replyOf(request.call, outcome::outcome_unknown, reason::in_progress));
+            co_return;
+        }
+        const auto floor = m_agent.floorFor(request.key);
+        if (!floor || !m_agent.rightIsFresh(now))
+            continue;
+        auto decision = idempotency_decision::wait;
+        call_reply remembered;
+        {
+            const std::lock_guard lock(m_mutex);
+            decision = m_table.begin(request.key, fingerprint, *floor, wallNow());
+            if (decision == idempotency_decision::run)
+                m_running.insert(request.key);
+            if (const auto* record = m_table.find(request.key); record && decision == idempotency_decision::replay)
+                remembered = replyOf(request.call, record->result, record->why, record->answer);
+        }
+        switch (decision) {
+        case idempotency_decision::wait:
+            continue;
+        case idempotency_decision::run:
+            run(link, request, front->second, deadline);
+            co_return;
+        case idempotency_decision::replay:
+            link->send(remembered);
+            co_return;
+        case idempotency_decision::too_old:
+            link->send(replyOf(request.call, outcome::outcome_unknown, reason::key_too_old));
+            co_return;
+        case idempotency_decision::mismatch:
+            link->send(replyOf(request.call, outcome::not_run, reason::key_reused));
+            co_return;
+        case idempotency_decision::from_future:
+            link->send(replyOf(request.call, outcome::not_run, reason::key_from_future));
+            co_return;
+        case idempotency_decision::full:
+            link->send(replyOf(request.call, outcome::not_run, reason::overloaded));
+            co_return;
+        }
+    }
+}
+
+void order_service::run(const node_link_handle& link, const order_request& request, const front_spec& front, monotonic_time deadline)
+{
+    thread_local std::mt19937 random { std::random_device {}() };
+    const auto document = m_agent.document();
+    auto order = std::make_shared<running_order>(running_order { link, request, front, deadline, {}, reason::no_owner });
+    for (const auto& searcher : front.searchers) {
+        if (document->takesNewWork(searcher))
+            order->candidates.push_back(searcher);
+    }
+    std::shuffle(order->candidates.begin(), order->candidates.end(), random);
+    tryNext(order);
+}
+
+// Sends the order to the next searcher; only a proven not_run leads here again.
+void order_service::tryNext(const order_handle& order)
+{
+    const auto now = monotonic_clock::now();
+    if (order->candidates.empty() || now >= order->deadline) {
+        settle(order, replyOf(order->request.call, outcome::not_run, now >= order->deadline ? reason::deadline_passed : order->lastReason));
+        return;
+    }
+    const auto searcher = order->candidates.back();
+    order->candidates.pop_back();
+    const auto onEnd = [this, order](const call_reply& result) {
+        if (result.result != outcome::not_run) {
+            settle(order, result);
+            return;
+        }
+        order->lastReason = result.why;
+        tryNext(order);
+    };
+    const auto epoch = m_agent.epoch();
+    const auto owner = ownerOf(epoch->members, order->front, searcher);
+    if (!owner) {
+        order->lastReason = reason::no_owner;
+        tryNext(order);
+        return;
+    }
+    run_request request { {}, order->front.id, searcher.id, order->request.key, order->request.text, order->front.priority, budgetUntil(order->deadline) };
+    if (*owner == m_agent.self()) {
+        runHere(request, onEnd);
+        return;
+    }
+    const auto& address = epoch->find(*owner)->address;
+    request.call = m_calls.open(address, onEnd);
+    // The right is checked right before every send; a paused holder sends nothing.
+    if (!m_agent.rightIsFresh(monotonic_clock::now())) {
+        m_calls.forget(request.call);
+        settle(order, replyOf(order->request.call, outcome::not_run, reason::right_stale));
+        return;
+    }
+    m_links.send(address, request);
+    asio::co_spawn(
+        m_executor, [this, call = request.call, deadline = order->deadline]() -> awaitable<void> {
+            asio::steady_timer timer(m_executor, deadline + lastWordGrace - monotonic_clock::now());
+            co_await timer.async_wait(asio::use_awaitable);
+            m_calls.handleReply(replyOf(call, outcome::outcome_unknown, reason::deadline_passed));
+        },
+        asio::detached);
+}
+
+void order_service::settle(const order_handle& order, const call_reply& result)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_table.finish(order->request.key, result.result, result.why, result.answer);
+        m_running.erase(order->request.key);
+    }
+    order->link->send(replyOf(order->request.call, result.result, result.why, result.answer));
+}
+
+void order_service::handleRun(const node_link_handle& link, const run_request& request)
+{
+    runHere(request, [link, call = request.call](const call_reply& result) {
+        link->send(replyOf(call, result.result, result.why, result.answer));
+    });
+}
+
+void order_service::runHere(const run_request& request, std::function<void(const call_reply&)> onEnd)
+{
+    const auto runtime = m_searches.find(request.searcher);
+    if (!runtime) {
+        onEnd(replyOf(request.call, outcome::not_run, reason::not_owner));
+        return;
+    }
+    const auto token = m_searches.nextToken();
+    searcher_job job;
+    job.request.requestId = m_agent.self().value() + "-" + std::to_string(token.value());
+    job.request.text = request.text;
+    job.request.key = request.key;
+    job.deadline = deadlineOf(request.budget);
+    job.priority = request.priority;
+    job.onEnd = [onEnd = std::move(onEnd), call = request.call](const job_result& result) {
+        onEnd(replyOf(call, result.result, result.why, result.reply.answer));
+    };
+    runtime->submit(token, std::move(job));
+}
+
+// Hands over epoch by epoch: the hand-over for an epoch passes on a floor, which is known once every earlier change is
+// settled. Nothing is handed over while an order runs whose key has moved.
+void order_service::reconcile()
+{
+    const auto epoch = m_agent.epoch();
+    const auto now = monotonic_clock::now();
+    std::map<node_id, std::vector<idempotency_record>> moved;
+    epoch_number handover;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_handoversOpen.empty() && !startNextHandover(*epoch))
+            return;
+        if (now - m_handoverSentAt < handoverRepeat)
+            return;
+        m_handoverSentAt = now;
+        handover = m_handedOverFor;
+        std::erase_if(m_handoversOpen, [&](const auto& entry) { return !epoch->contains(entry.first); });
+        for (const auto& [receiver, number] : m_handoversOpen)
+            moved[receiver];
+        for (auto& record : m_table.records()) {
+            const auto holder = keyHolderOf(epoch->members, record.key);
+            if (holder && moved.contains(*holder))
+                moved[*holder].push_back(std::move(record));
+        }
+    }
+    const auto floor = m_agent.floorToPassOn(handover);
+    for (const auto& [receiver, records] : moved)
+        sendHandover(*epoch->find(receiver), handover, floor.value_or(wallNow()), records);
+}
+
+// Opens the hand-over for the next epoch, if there is one and it can be given. The table's mutex is held.
+bool order_service::startNextHandover(const assignment_epoch& epoch)
+{
+    const auto joined = m_agent.joinedEpoch();
+    if (!joined)
+        return false;
+    const auto next = std::max(m_handedOverFor, *joined).next();
+    if (next > epoch.number)
+        return false;
+    const bool stillRunning = std::any_of(m_running.begin(), m_running.end(), [&](const idempotency_key& key) { return keyHolderOf(epoch.members, key) != m_agent.self(); });
+    if (stillRunning || !m_agent.floorToPassOn(next))
+        return false;
+    m_handedOverFor = next;
+    m_handoverSentAt = {};
+    for (const auto& member : epoch.members) {
+        if (member.id != m_agent.self())
+            m_handoversOpen[member.id] = next;
+    }
+    return true;
+}
+
+void order_service::sendHandover(const epoch_member& receiver, epoch_number epoch, wall_time floor, const std::vector<idempotency_record>& records)
+{
+    handover_message message { m_agent.self(), epoch, floor.time_since_epoch().count(), {}, false };
+    for (std::size_t start = 0; start < records.size(); start += recordsPerHandover) {
+        const auto stop = std::min(records.size(), start + recordsPerHandover);
+        message.records.assign(records.begin() + static_cast<std::ptrdiff_t>(start), records.begin() + static_cast<std::ptrdiff_t>(stop));
+        m_links.send(receiver.address, message);
+    }
+    message.records.clear();
+    message.last = true;
+    m_links.send(receiver.address, message);
+}
+
+void order_service::handleHandover(const node_link_handle& link, const handover_message& message)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_table.merge(message.records);
+    }
+    if (!message.last)
+        return;
+    if (message.epoch > m_agent.epoch()->number)
+        return; // sent again once this node knows the epoch
+    m_agent.recordHandover(message);
+    link->send(handover_ack { m_agent.self(), message.epoch });
+}
+
+void order_service::handleHandoverAck(const handover_ack& ack)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_handoversOpen.find(ack.from);
+    if (found != m_handoversOpen.end() && found->second == ack.epoch)
+        m_handoversOpen.erase(found);
+}
+
+bool order_service::isReleased() const
+{
+    const auto epoch = m_agent.epoch();
+    const auto joined = m_agent.joinedEpoch();
+    if (!joined)
+        return true; // a process that never joined holds nothing
+    const std::lock_guard lock(m_mutex);
+    return std::max(m_handedOverFor, *joined) >= epoch->number && m_handoversOpen.empty();
+}
+
+std::size_t order_service::openOrders() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_running.size();
+}
+
+std::size_t order_service::records() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.size();
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/dispatch/search_service.cc
@@ -0,0 +1,204 @@
+#include "search_service.h"
+
+#include <algorithm>
+
+#include "limpetpier/coordination/ownership.h"
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+monotonic_time deadlineOf(const time_budget& budget)
+{
+    const auto now = monotonic_clock::now();
+    const wall_time sentAt { milliseconds { budget.sentAtWallMs } };
+    const auto onTheWay = std::max(milliseconds { 0 }, std::chrono::duration_cast<milliseconds>(wallNow() - sentAt) - clockBound);
+    return now + microseconds { budget.remainingUs } - onTheWay;
+}
+
+search_service::search_service(asio::any_io_executor executor, cluster_agent& agent)
+    : m_executor(std::move(executor))
+    , m_agent(agent)
+{
+}
+
+void search_service::handleBatch(const node_link_handle& link, const search_batch& batch)
+{
+    const auto deadline = deadlineOf(batch.budget);
+    for (const auto& item : batch.items)
+        submit(link, batch, item, deadline);
+}
+
+void search_service::submit(const node_link_handle& link, const search_batch& batch, const batch_item& item, monotonic_time deadline)
+{
+    const auto runtime = find(item.searcher);
+    if (!runtime) {
+        link->send(sub_reply { batch.query, item.ref, outcome::not_run, reason::not_owner, {}, {}, 0 });
+        return;
+    }
+    const auto token = nextToken();
+    const job_key key { link.get(), batch.query, item.ref };
+    {
+        const std::lock_guard lock(m_mutex);
+        m_jobs[key] = { token, runtime };
+    }
+    searcher_job job;
+    job.request.requestId = m_agent.self().value() + "-" + std::to_string(token.value());
+    job.request.text = batch.text;
+    job.request.limit = batch.limit;
+    job.request.snapshot = batch.snapshot;
+    job.deadline = deadline;
+    job.hedge = item.hedge;
+    job.priority = batch.priority;
+    job.slowAfter = item.hedge ? microseconds { 0 } : microseconds { batch.slowAfterUs };
+    job.onSlow = [link, query = batch.query, ref = item.ref] { link->send(slow_notice { query, ref }); };
+    job.onEnd = [this, link, key](const job_result& result) {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_jobs.erase(key);
+        }
+        link->send(sub_reply { key.query, key.ref, result.result, result.why, result.reply.from, result.reply.hits, result.serviceTime.count() });
+    };
+    runtime->submit(token, std::move(job));
+}
+
+void search_service::handleCancel(const node_link_handle& link, const cancel_message& message)
+{
+    for (const auto& ref : message.refs) {
+        job_place place;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto found = m_jobs.find({ link.get(), message.query, ref });
+            if (found == m_jobs.end())
+                continue;
+            place = found->second;
+        }
+        place.runtime->cancel(place.token);
+    }
+}
+
+void search_service::dropLink(const node_link_handle& link)
+{
+    std::vector<job_place> places;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [key, place] : m_jobs) {
+            if (key.link == link.get())
+                places.push_back(place);
+        }
+    }
+    for (const auto& place : places)
+        place.runtime->cancel(place.token);
+}
+
+reason search_service::whyNotSend(const searcher_spec& searcher) const
+{
+    const auto document = m_agent.document();
+    const auto front = std::find_if(document->fronts.begin(), document->fronts.end(), [&](const auto& entry) {
+        return std::any_of(entry.second.searchers.begin(), entry.second.searchers.end(), [&](const searcher_spec& other) { return other.id == searcher.id && document->takesNewWork(other); });
+    });
+    if (front == document->fronts.end())
+        return reason::withdrawn;
+    if (!m_agent.owns(searcher.id))
+        return reason::not_owner;
+    return m_agent.maySend(searcher.id, monotonic_clock::now()) ? reason::none : reason::right_stale;
+}
+
+void search_service::reconcile()
+{
+    const auto document = m_agent.document();
+    std::vector<std::shared_ptr<searcher_runtime>> started;
+    std::vector<std::shared_ptr<searcher_runtime>> changed;
+    std::vector<std::shared_ptr<searcher_runtime>> ended;
+    std::vector<std::shared_ptr<searcher_runtime>> returned;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::map<searcher_id, std::shared_ptr<searcher_runtime>> next;
+        for (const auto& [id, front] : document->fronts) {
+            auto& record = m_records[id];
+            if (!record)
+                record = std::make_shared<front_record>();
+            for (const auto& searcher : front.searchers) {
+                if (!m_agent.owns(searcher.id))
+                    continue;
+                const auto known = m_runtimes.find(searcher.id);
+                if (known != m_runtimes.end() && known->second->spec().address == searcher.address) {
+                    next[searcher.id] = known->second;
+                    changed.push_back(known->second);
+                    const bool takes = document->takesNewWork(searcher);
+                    if (takes && !std::exchange(m_takesWork[searcher.id], takes))
+                        returned.push_back(known->second);
+                    m_takesWork[searcher.id] = takes;
+                    continue;
+                }
+                auto runtime = std::make_shared<searcher_runtime>(m_executor, front, searcher, record, [this, searcher] { return whyNotSend(searcher); });
+                m_takesWork[searcher.id] = document->takesNewWork(searcher);
+                next[searcher.id] = runtime;
+                started.push_back(runtime);
+            }
+        }
+        for (const auto& [id, runtime] : m_runtimes) {
+            const auto kept = next.find(id);
+            if (kept == next.end() || kept->second != runtime)
+                ended.push_back(runtime);
+        }
+        m_runtimes = std::move(next);
+        std::erase_if(m_ending, [](const auto& runtime) { return runtime->openJobs() == 0; });
+        m_ending.insert(m_ending.end(), ended.begin(), ended.end());
+    }
+    for (const auto& runtime : started)
+        runtime->start();
+    for (const auto& runtime : returned)
+        runtime->noteReturned();
+    for (const auto& runtime : changed)
+        runtime->refuseQueuedIfBarred();
+    for (const auto& runtime : ended)
+        runtime->stop();
+}
+
+std::shared_ptr<searcher_runtime> search_service::find(const searcher_id& searcher) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runtimes.find(searcher);
+    return found == m_runtimes.end() ? nullptr : found->second;
+}
+
+bool search_service::isReleased() const
+{
+    const std::lock_guard lock(m_mutex);
+    const bool ended = std::all_of(m_ending.begin(), m_ending.end(), [](const auto& runtime) { return runtime->openJobs() == 0; });
+    return ended && std::all_of(m_runtimes.begin(), m_runtimes.end(), [&](const auto& entry) { return m_agent.owns(entry.first) || entry.second->openJobs() == 0; });
+}
+
+std::size_t search_service::openJobs() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t open = 0;
+    for (const auto& [id, runtime] : m_runtimes)
+        open += runtime->openJobs();
+    for (const auto& runtime : m_ending)
+        open += runtime->openJobs();
+    return open;
+}
+
+digest_reply search_service::digest() const
+{
+    digest_reply digest;
+    digest.from = m_agent.self();
+    digest.epoch = m_agent.epoch()->number;
+    digest.revision = m_agent.document()->revision;
+    digest.taking = m_agent.rightIsFresh(monotonic_clock::now());
+    for (const auto& runtime : runtimes())
+        digest.searchers.push_back(runtime->report());
+    return digest;
+}
+
+std::vector<std::shared_ptr<searcher_runtime>> search_service::runtimes() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<searcher_runtime>> result;
+    for (const auto& [id, runtime] : m_runtimes)
+        result.push_back(runtime);
+    return result;
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/dispatch/searcher_runtime.cc
@@ -0,0 +1,401 @@
+#include "searcher_runtime.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr milliseconds refreshInterval { 250 };
+constexpr milliseconds refreshTimeout { 300 };
+constexpr milliseconds connectTimeout { 250 };
+
+// Refreshes in a row that fail before a searcher counts as unreachable.
+constexpr std::uint32_t failuresMeanUnreachable = 2;
+
+// Time beyond the deadline for an answer that is already under way.
+constexpr milliseconds answerGrace { 5 };
+
+job_result notRun(reason why)
+{
+    return { outcome::not_run, why, {}, {} };
+}
+
+} // namespace
+
+void front_record::record(microseconds serviceTime)
+{
+    const std::lock_guard lock(m_mutex);
+    m_service.record(serviceTime);
+}
+
+std::optional<microseconds> front_record::typical() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_service.quantile(0.5);
+}
+
+searcher_runtime::searcher_runtime(asio::any_io_executor executor, const front_spec& front, searcher_spec searcher, std::shared_ptr<front_record> record, std::function<reason()> whyNotSend)
+    : m_executor(asio::make_strand(executor))
+    , m_limits(front)
+    , m_spec(std::move(searcher))
+    , m_record(std::move(record))
+    , m_whyNotSend(std::move(whyNotSend))
+    , m_gate(front.slots, front.coldAllowance)
+{
+    m_limits.searchers.clear();
+    m_report.searcher = m_spec.id;
+}
+
+searcher_runtime::~searcher_runtime() = default;
+
+void searcher_runtime::start()
+{
+    asio::co_spawn(m_executor, maintain(shared_from_this()), asio::detached);
+}
+
+void searcher_runtime::stop()
+{
+    asio::post(m_executor, [self = shared_from_this()] {
+        self->m_stopped = true;
+        self->refuseAll(reason::not_owner);
+        self->m_idle.clear();
+    });
+}
+
+void searcher_runtime::submit(gate_token token, searcher_job job)
+{
+    {
+        const std::lock_guard lock(m_reportMutex);
+        ++m_openJobs;
+    }
+    asio::post(m_executor, [self = shared_from_this(), token, job = std::move(job)]() mutable {
+        const gate_item item { token, job.deadline, job.hedge, job.priority };
+        self->m_jobs.emplace(token, open_job { std::move(job), false, false, nullptr });
+        const auto now = monotonic_clock::now();
+        auto why = self->m_stopped ? reason::not_owner : self->m_whyNotSend();
+        if (why == reason::none && self->m_draining)
+            why = reason::withdrawn;
+        if (why == reason::none && !self->m_reachable)
+            why = reason::connect_failed;
+        if (why == reason::none)
+            why = self->m_gate.offer(item, now).value_or(reason::none);
+        if (why != reason::none)
+            self->end(token, notRun(why));
+        else
+            self->pump();
+    });
+}
+
+void searcher_runtime::cancel(gate_token token)
+{
+    asio::post(m_executor, [self = shared_from_this(), token] {
+        const auto found = self->m_jobs.find(token);
+        if (found == self->m_jobs.end() || std::exchange(found->second.cancelRequested, true))
+            return;
+        if (self->m_gate.withdraw(token)) {
+            self->end(token, notRun(reason::cancelled));
+            return;
+        }
+        asio::co_spawn(self->m_executor, self->sendCancel(found->second.job.request.requestId, self), asio::detached);
+    });
+}
+
+void searcher_runtime::refuseQueuedIfBarred()
+{
+    asio::post(m_executor, [self = shared_from_this()] {
+        const auto why = self->m_whyNotSend();
+        if (why != reason::none)
+            self->refuseAll(why);
+    });
+}
+
+void searcher_runtime::noteReturned()
+{
+    asio::post(m_executor, [self = shared_from_this()] {
+        self->m_gate.observe(searcher_evidence::returned);
+        self->publish();
+    });
+}
+
+searcher_report searcher_runtime::report() const
+{
+    const std::lock_guard lock(m_reportMutex);
+    return m_report;
+}
+
+ramp_state searcher_runtime::rampState() const
+{
+    const std::lock_guard lock(m_reportMutex);
+    return m_publishedState;
+}
+
+std::size_t searcher_runtime::openJobs() const
+{
+    const std::lock_guard lock(m_reportMutex);
+    return m_openJobs;
+}
+
+// Starts as many queued jobs as the searcher bears.
+void searcher_runtime::pump()
+{
+    const auto now = monotonic_clock::now();
+    for (const auto token : m_gate.takeExpired(now))
+        end(token, notRun(reason::deadline_passed));
+    while (const auto item = m_gate.startNext(now)) {
+        m_jobs.at(item->token).running = true;
+        asio::co_spawn(m_executor, run(*item, shared_from_this()), asio::detached);
+    }
+    publish();
+}
+
+awaitable<void> searcher_runtime::run(gate_item item, std::shared_ptr<searcher_runtime> self)
+{
+    auto connection = co_await takeConnection();
+    auto& entry = m_jobs.at(item.token);
+    const auto startedAt = monotonic_clock::now();
+    const auto finish = [&](slot_end slot, const job_result& result) {
+        m_gate.finish(item.token, slot, result.serviceTime, m_record->typical(), monotonic_clock::now());
+        end(item.token, result);
+        pump();
+    };
+    if (!connection) {
+        noteUnreachable();
+        finish(slot_end::refused, notRun(reason::connect_failed));
+        co_return;
+    }
+    // The last moment before bytes leave: the right, the deadline and a cancellation are checked here.
+    auto why = m_whyNotSend();
+    if (why == reason::none && entry.cancelRequested)
+        why = reason::cancelled;
+    if (why == reason::none && startedAt >= item.deadline)
+        why = reason::deadline_passed;
+    if (why != reason::none) {
+        giveBack(std::move(connection));
+        finish(slot_end::cancelled, notRun(why));
+        co_return;
+    }
+    auto request = entry.job.request;
+    const auto left = std::chrono::duration_cast<microseconds>(item.deadline - startedAt);
+    request.deadline = std::chrono::ceil<milliseconds>(left);
+    entry.connection = connection;
+    if (entry.job.slowAfter.count() > 0 && entry.job.slowAfter < left)
+        asio::co_spawn(m_executor, watchSlow(item.token, entry.job.slowAfter, self), asio::detached);
+
+    const auto exchanged = co_await connection->exchange(makeTargetRequest(request), left + answerGrace);
+    const auto serviceTime = std::chrono::duration_cast<microseconds>(monotonic_clock::now() - startedAt);
+    slot_end slot = slot_end::cut;
+    auto result = judge(request, exchanged, slot);
+    result.serviceTime = serviceTime;
+    if (slot == slot_end::served)
+        m_record->record(serviceTime);
+    if (exchanged.stage != exchange_stage::replied && monotonic_clock::now() >= item.deadline) {
+        // No byte until the deadline: this connection and those unused for longer may have gone silent.
+        logEvent(event::connection_silent, "searcher=" + m_spec.id.value());
+        m_open -= m_idle.size();
+        m_idle.clear();
+    }
+    giveBack(std::move(connection));
+    finish(slot, result);
+}
+
+job_result searcher_runtime::judge(const target_request& request, const exchange_result& exchanged, slot_end& slot)
+{
+    if (exchanged.stage == exchange_stage::not_written) {
+        slot = slot_end::refused;
+        return notRun(reason::connect_failed);
+    }
+    job_result result;
+    if (exchanged.stage == exchange_stage::no_reply) {
+        slot = slot_end::cut;
+        result.why = reason::connection_lost;
+        return result;
+    }
+    result.reply = parseTargetReply(exchanged.reply, request.isSearch());
+    if (result.reply.status != target_status::failed)
+        noteBoot(result.reply.boot);
+    slot = slot_end::served;
+    if (result.reply.requestId != request.requestId) {
+        result.why = reason::bad_reply;
+        return result;
+    }
+    switch (result.reply.status) {
+    case target_status::answered:
+        result.result = outcome::answered;
+        break;
+    case target_status::shed:
+        slot = slot_end::refused;
+        return notRun(reason::target_shed);
+    case target_status::version_gone:
+        slot = slot_end::cancelled;
+        noteVersionGone(request.snapshot);
+        return notRun(reason::version_gone);
+    case target_status::cancelled:
+        slot = slot_end::cancelled;
+        result.why = reason::cancelled;
+        break;
+    case target_status::failed:
+        result.why = reason::target_error;
+        break;
+    }
+    return result;
+}
+
+awaitable<void> searcher_runtime::watchSlow(gate_token token, microseconds after, std::shared_ptr<searcher_runtime> self)
+{
+    asio::steady_timer timer(self->m_executor, after);
+    co_await timer.async_wait(asio::use_awaitable);
+    const auto found = self->m_jobs.find(token);
+    if (found != self->m_jobs.end() && found->second.job.onSlow)
+        found->second.job.onSlow();
+}
+
+awaitable<void> searcher_runtime::sendCancel(std::string requestId, std::shared_ptr<searcher_runtime> self)
+{
+    auto connection = co_await self->takeConnection();
+    if (!connection)
+        co_return;
+    co_await connection->exchange(makeCancelRequest(requestId), refreshTimeout);
+    self->giveBack(std::move(connection));
+}
+
+// An idle connection, or a new one within the searcher's limit; nothing if none can be had.
+awaitable<std::shared_ptr<http_connection>> searcher_runtime::takeConnection()
+{
+    while (!m_idle.empty()) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (connection->isOpen())
+            co_return connection;
+        --m_open;
+    }
+    if (m_open >= m_limits.connections)
+        co_return nullptr;
+    ++m_open;
+    auto connection = std::make_shared<http_connection>(m_executor);
+    if (co_await connection->connect(parseTcpEndpoint(m_spec.address), connectTimeout))
+        co_return connection;
+    --m_open;
+    co_return nullptr;
+}
+
+void searcher_runtime::giveBack(std::shared_ptr<http_connection> connection)
+{
+    if (connection->isOpen() && !m_stopped)
+        m_idle.push_back(std::move(connection));
+    else
+        --m_open;
+}
+
+void searcher_runtime::end(gate_token token, const job_result& result)
+{
+    const auto found = m_jobs.find(token);
+    if (found == m_jobs.end())
+        return;
+    const auto onEnd = std::move(found->second.job.onEnd);
+    m_jobs.erase(found);
+    {
+        const std::lock_guard lock(m_reportMutex);
+        --m_openJobs;
+    }
+    onEnd(result);
+}
+
+void searcher_runtime::refuseAll(reason why)
+{
+    for (const auto token : m_gate.takeAll())
+        end(token, notRun(why));
+    publish();
+}
+
+void searcher_runtime::noteBoot(boot_id boot)
+{
+    if (m_boot == boot)
+        return;
+    const bool first = m_boot == boot_id {};
+    m_boot = boot;
+    if (!first)
+        m_gate.observe(searcher_evidence::restarted);
+}
+
+void searcher_runtime::noteUnreachable()
+{
+    if (!std::exchange(m_reachable, false))
+        return;
+    m_gate.observe(searcher_evidence::refused);
+    refuseAll(reason::connect_failed);
+}
+
+void searcher_runtime::noteVersionGone(snapshot_id snapshot)
+{
+    std::erase_if(m_held, [&](const held_snapshot& held) { return held.snapshot == snapshot; });
+    publish();
+}
+
+void searcher_runtime::publish()
+{
+    const auto state = m_gate.state();
+    if ((state == ramp_state::warm) != (m_loggedState == ramp_state::warm)) {
+        logEvent(state == ramp_state::warm ? event::searcher_warm : event::searcher_cold, "searcher=" + m_spec.id.value());
+        m_loggedState = state;
+    }
+    const std::lock_guard lock(m_reportMutex);
+    m_report.serving = m_reachable && !m_draining && !m_stopped && m_whyNotSend() == reason::none;
+    m_report.queued = static_cast<std::uint32_t>(m_gate.queued() + m_jobs.size());
+    m_report.held = m_held;
+    m_publishedState = state;
+}
+
+awaitable<void> searcher_runtime::maintain(std::shared_ptr<searcher_runtime> self)
+{
+    asio::steady_timer timer(self->m_executor);
+    while (!m_stopped) {
+        if (const auto why = m_whyNotSend(); why == reason::none)
+            co_await refresh();
+        else
+            refuseAll(why);
+        pump();
+        timer.expires_after(refreshInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+// Asks the searcher what it holds, over the connection that has been idle longest, so that one that has gone silent
+// is found without a request.
+awaitable<void> searcher_runtime::refresh()
+{
+    if (!m_idle.empty()) {
+        auto oldest = std::move(m_idle.front());
+        m_idle.pop_front();
+        m_idle.push_back(std::move(oldest));
+    }
+    auto connection = co_await takeConnection();
+    std::optional<target_state> state;
+    if (connection) {
+        const auto exchanged = co_await connection->exchange(makeStateRequest(), refreshTimeout);
+        if (exchanged.stage == exchange_stage::replied)
+            state = parseTargetState(exchanged.reply);
+        giveBack(std::move(connection));
+    }
+    if (!state) {
+        if (++m_failedRefreshes >= failuresMeanUnreachable)
+            noteUnreachable();
+        publish();
+        co_return;
+    }
+    m_failedRefreshes = 0;
+    m_reachable = true;
+    noteBoot(state->boot);
+    if (state->draining && !std::exchange(m_draining, true)) {
+        logEvent(event::searcher_draining, "searcher=" + m_spec.id.value());
+        refuseAll(reason::withdrawn);
+    }
+    m_draining = state->draining;
+    m_held = std::move(state->held);
+    publish();
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/dispatch/searcher_runtime.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "limpetpier/coordination/searcher_gate.h"
+#include "limpetpier/protocol/target_protocol.h"
+#include "limpetpier/state/operator_document.h"
+#include "limpetpier/transport/http.h"
+
+namespace limpetpier {
+
+// How a job ended.
+struct job_result {
+    outcome result = outcome::outcome_unknown;
+    reason why = reason::none;
+    target_reply reply;
+    microseconds serviceTime { 0 };
+};
+
+// A request for one searcher, with what to do when it ends.
+struct searcher_job {
+    target_request request;
+    monotonic_time deadline;
+    bool hedge = false;
+    std::uint32_t priority = 0;
+    microseconds slowAfter { 0 }; // 0: no notice wanted
+    std::function<void(const job_result&)> onEnd; // called exactly once
+    std::function<void()> onSlow;
+};
+
+// Usual service time of the warm searchers of one front, shared by their runtimes. Its mutex is a leaf.
+class front_record {
+public:
+    void record(microseconds serviceTime);
+    [[nodiscard]] std::optional<microseconds> typical() const;
+
+private:
+    mutable std::mutex m_mutex;
+    latency_histogram m_service;
+};
+
+// Owner's side of one searcher: its gate, its connections and its condition.
+//
+// All state belongs to one strand; the public functions may be called from any thread.
+class searcher_runtime : public std::enable_shared_from_this<searcher_runtime> {
+public:
+    // maySend is asked right before every send; false means that nothing may be sent at this moment.
+    searcher_runtime(asio::any_io_executor executor, const front_spec& front, searcher_spec searcher, std::shared_ptr<front_record> record, std::function<reason()> whyNotSend);
+    ~searcher_runtime();
+    searcher_runtime(const searcher_runtime&) = delete;
+    searcher_runtime& operator=(const searcher_runtime&) = delete;
+
+    void start();
+
+    // Ends maintenance; queued jobs are refused and running ones finish.
+    void stop();
+
+    // Queues a job and returns its token through the job's own callbacks.
+    void submit(gate_token token, searcher_job job);
+
+    // Withdraws a queued job, or asks the searcher to stop a running one.
+    void cancel(gate_token token);
+
+    // Refuses queued jobs when the node may not send any more.
+    void refuseQueuedIfBarred();
+
+    // The searcher comes back into service after operators took it out.
+    void noteReturned();
+
+    [[nodiscard]] searcher_report report() const;
+    [[nodiscard]] ramp_state rampState() const;
+
+    // Jobs queued or running.
+    [[nodiscard]] std::size_t openJobs() const;
+
+    [[nodiscard]] const searcher_spec& spec() const { return m_spec; }
+
+private:
+    struct open_job {
+        searcher_job job;
+        bool running = false;
+        bool cancelRequested = false;
+        std::shared_ptr<http_connection> connection;
+    };
+
+    awaitable<void> maintain(std::shared_ptr<searcher_runtime> self);
+    awaitable<void> refresh();
+    awaitable<void> run(gate_item item, std::shared_ptr<searcher_runtime> self);
+    awaitable<void> watchSlow(gate_token token, microseconds after, std::shared_ptr<searcher_runtime> self);
+    awaitable<void> sendCancel(std::string requestId, std::shared_ptr<searcher_runtime> self);
+    awaitable<std::shared_ptr<http_connection>> takeConnection();
+    void giveBack(std::shared_ptr<http_connection> connection);
+    void pump();
+    void end(gate_token token, const job_result& result);
+    void refuseAll(reason why);
+    void noteBoot(boot_id boot);
+    void noteUnreachable();
+    void noteVersionGone(snapshot_id snapshot);
+    void publish();
+    job_result judge(const target_request& request, const exchange_result& exchanged, slot_end& slot);
+
+    asio::any_io_executor m_executor; // a strand
+    front_spec m_limits;
+    searcher_spec m_spec;
+    std::shared_ptr<front_record> m_record;
+    std::function<reason()> m_whyNotSend;
+    searcher_gate m_gate;
+    std::map<gate_token, open_job> m_jobs;
+    std::deque<std::shared_ptr<http_connection>> m_idle; // front: used longest ago
+    std::size_t m_open = 0;
+    boot_id m_boot;
+    bool m_reachable = false;
+    bool m_draining = false;
+    bool m_stopped = false;
+    std::uint32_t m_failedRefreshes = 0;
+    std::vector<held_snapshot> m_held;
+    ramp_state m_loggedState = ramp_state::probing;
+
+    mutable std::mutex m_reportMutex; // leaf in the lock order
+    searcher_report m_report;
+    std::size_t m_openJobs = 0;
+    ramp_state m_publishedState = ramp_state::probing;
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/front/cluster_view.cc
@@ -0,0 +1,175 @@
+#include "cluster_view.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <set>
+
+#include "limpetpier/coordination/ownership.h"
+#include "limpetpier/coordination/section_edit.h"
+#include "limpetpier/state/errors.h"
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr milliseconds pollInterval { 150 };
+constexpr milliseconds storeTimeout { 400 };
+constexpr milliseconds bootstrapRetry { 200 };
+
+// A digest older than this says nothing about its node any more.
+constexpr milliseconds digestLifetime { 2000 };
+
+} // namespace
+
+cluster_view::cluster_view(asio::any_io_executor executor, const std::string& storeAddress, std::vector<std::string> peers, link_directory& links)
+    : m_executor(std::move(executor))
+    , m_store(m_executor, storeAddress, storeTimeout)
+    , m_peers(std::move(peers))
+    , m_links(links)
+{
+}
+
+void cluster_view::start()
+{
+    asio::co_spawn(asio::make_strand(m_executor), bootstrap(), asio::detached);
+    asio::co_spawn(asio::make_strand(m_executor), poll(), asio::detached);
+}
+
+front_route_handle cluster_view::route(const front_id& front) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_routes.find(front);
+    return found == m_routes.end() ? nullptr : found->second;
+}
+
+assignment_epoch cluster_view::epoch() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_epoch;
+}
+
+revision_number cluster_view::revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_document.revision;
+}
+
+bool cluster_view::isReady() const
+{
+    const std::lock_guard lock(m_mutex);
+    const bool taking = std::any_of(m_digests.begin(), m_digests.end(), [](const auto& entry) { return entry.second.digest.taking; });
+    return m_document.revision > revision_number {} && taking;
+}
+
+// Reads the store until a dispatcher is known; afterwards dispatchers bring all news.
+awaitable<void> cluster_view::bootstrap()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!isReady()) {
+        try {
+            const auto document = co_await m_store.get(documentKey);
+            const auto stored = co_await m_store.get(epochKey);
+            if (document.version > 0 && stored.version > 0)
+                handleState({ parseEpoch(stored.text), document.text });
+        } catch (const limpet_error&) {
+            for (const auto& peer : m_peers)
+                m_links.send(peer, state_request {});
+        }
+        timer.expires_after(bootstrapRetry);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+awaitable<void> cluster_view::poll()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;) {
+        refresh();
+        rebuild();
+        timer.expires_after(pollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+void cluster_view::refresh()
+{
+    for (const auto& member : epoch().members)
+        m_links.send(member.address, digest_request {});
+}
+
+void cluster_view::handleDigest(const node_link_handle& link, const digest_reply& digest)
+{
+    bool knowsMore = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_digests[digest.from] = { digest, monotonic_clock::now() };
+        knowsMore = digest.epoch > m_epoch.number || digest.revision > m_document.revision;
+    }
+    if (knowsMore)
+        link->send(state_request {});
+    rebuild();
+}
+
+void cluster_view::handleState(const state_reply& state)
+{
+    std::optional<operator_document> offered;
+    try {
+        if (!state.documentText.empty())
+            offered = parseDocument(state.documentText);
+    } catch (const document_error& error) {
+        logEvent(event::document_invalid, error.what());
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (state.epoch.number > m_epoch.number) {
+            m_epoch = state.epoch;
+            logEvent(event::epoch_adopted, "epoch=" + std::to_string(m_epoch.number.value()));
+        }
+        if (offered && decideRevision(m_document.revision, offered->revision) == revision_decision::adopt) {
+            m_document = std::move(*offered);
+            logEvent(event::document_adopted, "revision=" + std::to_string(m_document.revision.value()));
+        }
+    }
+    refresh();
+    rebuild();
+}
+
+void cluster_view::rebuild()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = monotonic_clock::now();
+    std::erase_if(m_digests, [&](const auto& entry) { return now - entry.second.receivedAt > digestLifetime; });
+    std::map<front_id, front_route_handle> routes;
+    for (const auto& [id, front] : m_document.fronts)
+        routes[id] = buildRoute(front, now);
+    m_routes = std::move(routes);
+}
+
+std::shared_ptr<front_route> cluster_view::buildRoute(const front_spec& front, monotonic_time now) const
+{
+    auto route = std::make_shared<front_route>();
+    route->spec = front;
+    std::vector<searcher_report> reports;
+    for (const auto& searcher : front.searchers) {
+        const auto owner = ownerOf(m_epoch.members, front, searcher);
+        if (!owner)
+            continue;
+        route->ownerAddresses[searcher.id] = m_epoch.find(*owner)->address;
+        const auto digest = m_digests.find(*owner);
+        if (digest == m_digests.end() || now - digest->second.receivedAt > digestLifetime)
+            continue;
+        const auto& known = digest->second.digest.searchers;
+        const auto report = std::find_if(known.begin(), known.end(), [&](const searcher_report& item) { return item.searcher == searcher.id; });
+        if (report == known.end())
+            continue;
+        route->queued[searcher.id] = report->queued;
+        reports.push_back(*report);
+        reports.back().serving = report->serving && m_document.takesNewWork(searcher);
+    }
+    if (front.kind == front_kind::fan_out)
+        route->snapshot = selectSnapshot(reports);
+    return route;
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/front/main.cc
@@ -0,0 +1,203 @@
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include "limpetpier/state/errors.h"
+#include "limpetpier/transport/events.h"
+#include "limpetpier/transport/http.h"
+#include "limpetpier/transport/settings.h"
+#include "order_handler.h"
+#include "search_handler.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr milliseconds stopPoll { 20 };
+
+// Time for the balancer to see that this front is not ready, before it refuses new requests.
+constexpr milliseconds balancerNotice { 500 };
+
+const std::vector<setting>& settingsTable()
+{
+    static const std::vector<setting> table {
+        { "node", "", "Name of this process, unique in the deployment", setting_kind::text, true, 0, 0, false },
+        { "http", "", "IP:port for callers, health, metrics and status", setting_kind::address, true, 0, 0, false },
+        { "store", "", "IP:port of the platform's key-value service", setting_kind::address, true, 0, 0, false },
+        { "peers", "", "IP:port list of dispatchers to ask while the store is down", setting_kind::text, false, 0, 0, false },
+        { "deployment", "limpetpier", "Name of the deployment; nodes of others are refused", setting_kind::text, true, 0, 0, false },
+        { "workers", "2", "Worker threads", setting_kind::number, true, 1, 64, false },
+        { "stop-timeout-ms", "10000", "Longest graceful stop, in milliseconds", setting_kind::number, true, 100, 600'000, false },
+        { "node-secret", "", "Shared secret of the deployment's nodes", setting_kind::text, true, 0, 0, true },
+    };
+    return table;
+}
+
+// The front process: takes callers' requests and answers each exactly once.
+class front_process {
+public:
+    front_process(asio::io_context& io, const program_settings& settings)
+        : m_io(io)
+        , m_codec(settings.text("deployment"), settings.text("node-secret"))
+        , m_links(io.get_executor(), m_codec, handlers())
+        , m_view(io.get_executor(), settings.text("store"), settings.list("peers"), m_links)
+        , m_searches(m_view, m_links)
+        , m_orders(m_view, m_links, m_calls)
+        , m_http(io.get_executor(), parseTcpEndpoint(settings.text("http")), {}, [this](http_request request) { return answer(std::move(request)); })
+        , m_stopTimeout(settings.number("stop-timeout-ms"))
+        , m_signals(io, SIGTERM, SIGINT)
+    {
+    }
+
+    void start()
+    {
+        m_view.start();
+        m_signals.async_wait([this](const boost::system::error_code& error, int) {
+            if (!error)
+                asio::co_spawn(m_io, stop(), asio::detached);
+        });
+    }
+
+private:
+    link_handlers handlers()
+    {
+        link_handlers result;
+        result.onMessage = [this](const node_link_handle& link, node_message message) {
+            if (const auto* reply = std::get_if<sub_reply>(&message))
+                m_searches.handleReply(*reply);
+            else if (const auto* notice = std::get_if<slow_notice>(&message))
+                m_searches.handleSlow(*notice);
+            else if (const auto* call = std::get_if<call_reply>(&message))
+                m_calls.handleReply(*call);
+            else if (const auto* digest = std::get_if<digest_reply>(&message))
+                m_view.handleDigest(link, *digest);
+            else if (const auto* state = std::get_if<state_reply>(&message))
+                m_view.handleState(*state);
+        };
+        result.onClosed = [this](const node_link_handle& link, bool wasOpen) {
+            m_searches.handleClosed(link->peerAddress());
+            m_calls.handleClosed(link->peerAddress(), wasOpen);
+        };
+        result.onBadFrame = [](const std::string& what) { logEvent(event::bad_frame, what); };
+        return result;
+    }
+
+    awaitable<http_reply> answer(http_request request)
+    {
+        http_reply reply;
+        try {
+            if (const auto route = parseRoute(request))
+                co_return co_await serve(*route, request);
+            reply = answerOperators(request);
+        } catch (const request_error& error) {
+            reply = formatError(error.status(), error.what());
+        }
+        co_return reply;
+    }
+
+    awaitable<http_reply> serve(const caller_route& route, const http_request& request)
+    {
+        const auto front = m_view.route(route.front);
+        if (!front && m_view.revision() == revision_number {})
+            co_return formatError(503, "no configuration yet; try again in a second");
+        if (!front)
+            throw request_error(404, "front '" + route.front.value() + "' is unknown; limpetctl show lists the fronts");
+        const auto expected = front->spec.kind == front_kind::fan_out ? caller_operation::search : caller_operation::order;
+        if (route.operation != expected)
+            throw request_error(400, "front '" + route.front.value() + "' takes " + (expected == caller_operation::search ? "search" : "order") + " requests only");
+        if (m_refusing)
+            co_return formatError(503, "this process is stopping; send the request to another one");
+        if (route.operation == caller_operation::search)
+            co_return formatSearch(co_await m_searches.answer(front, parseSearch(request)));
+        co_return co_await m_orders.answer(front, parseOrder(request));
+    }
+
+    http_reply answerOperators(const http_request& request)
+    {
+        http_reply reply;
+        if (request.target == "/healthz") {
+            reply.body = "{\"ok\":true}\n";
+        } else if (request.target == "/readyz") {
+            const bool ready = !m_stopping && m_view.isReady();
+            reply.status = ready ? 200 : 503;
+            reply.body = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
+        } else if (request.target == "/status") {
+            reply.body = boost::json::serialize(boost::json::object {
+                             { "epoch", m_view.epoch().number.value() },
+                             { "revision", m_view.revision().value() },
+                             { "open_queries", m_searches.openQueries() },
+                             { "open_orders", m_orders.openOrders() },
+                         })
+                + "\n";
+        } else {
+            throw request_error(404, "unknown path '" + request.target + "'; use /v1/fronts/NAME/search, /v1/fronts/NAME/order, /healthz, /readyz, /status or /metrics");
+        }
+        return reply;
+    }
+
+    // Lets the balancer turn away, finishes what runs, and ends the process.
+    awaitable<void> stop()
+    {
+        logEvent(event::stopping, "open_queries=" + std::to_string(m_searches.openQueries()));
+        m_stopping = true;
+        asio::steady_timer timer(m_io, balancerNotice);
+        co_await timer.async_wait(asio::use_awaitable);
+        m_refusing = true;
+        m_http.drain();
+        const auto giveUpAt = monotonic_clock::now() + m_stopTimeout;
+        while (m_http.connections() > 0 && monotonic_clock::now() < giveUpAt && (m_searches.openQueries() > 0 || m_orders.openOrders() > 0)) {
+            timer.expires_after(stopPoll);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        timer.expires_after(5 * stopPoll); // the last answers leave the socket
+        co_await timer.async_wait(asio::use_awaitable);
+        logEvent(event::stopped, "open_queries=" + std::to_string(m_searches.openQueries()));
+        m_io.stop();
+    }
+
+    asio::io_context& m_io;
+    node_codec m_codec;
+    call_table m_calls;
+    link_directory m_links;
+    cluster_view m_view;
+    search_handler m_searches;
+    order_handler m_orders;
+    http_server m_http;
+    milliseconds m_stopTimeout;
+    asio::signal_set m_signals;
+    std::atomic<bool> m_stopping { false };
+    std::atomic<bool> m_refusing { false };
+};
+
+int run(int argc, char** argv)
+{
+    const auto settings = program_settings::read("limpet-front", "Takes callers' requests and answers from all shards.", settingsTable(), argc, argv);
+    startLog(settings.text("node"));
+    asio::io_context io;
+    front_process process(io, settings);
+    process.start();
+    logEvent(event::started, "http=" + settings.text("http"));
+    std::vector<std::thread> workers;
+    for (std::int64_t worker = 1; worker < settings.number("workers"); ++worker)
+        workers.emplace_back([&io] { io.run(); });
+    io.run();
+    for (auto& worker : workers)
+        worker.join();
+    std::_Exit(EXIT_SUCCESS); // the operating system closes what is open; nothing is kept
+}
+
+} // namespace
+
+} // namespace limpetpier
+
+int main(int argc, char** argv)
+{
+    try {
+        return limpetpier::run(argc, argv);
+    } catch (const std::exception& error) {
+        std::cerr << "limpet-front: " << error.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/programs/front/order_handler.cc
@@ -0,0 +1,83 @@
+#include "order_handler.h"
+
+#include <boost/asio.hpp>
+
+#include "limpetpier/coordination/ownership.h"
+
+namespace limpetpier {
+
+namespace {
+
+// Time kept back for the holder's last word to arrive.
+constexpr milliseconds holderMargin { 15 };
+
+// Pause before the holder is looked up again.
+constexpr milliseconds lookUpPause { 15 };
+
+// Reasons for which another look at the epoch may help.
+bool isPassing(reason why)
+{
+    return why == reason::not_owner || why == reason::link_lost || why == reason::no_owner;
+}
+
+} // namespace
+
+order_handler::order_handler(cluster_view& view, link_directory& links, call_table& calls)
+    : m_view(view)
+    , m_links(links)
+    , m_calls(calls)
+{
+}
+
+awaitable<http_reply> order_handler::answer(front_route_handle route, order_call order)
+{
+    ++m_open;
+    const auto startedAt = monotonic_clock::now();
+    const auto deadline = startedAt + order.deadline.value_or(route->spec.deadline);
+    // With an earlier call for the same key, only the holder can say that nothing ran.
+    bool mayHaveRun = order.attempt > 1;
+    call_reply last { {}, outcome::not_run, reason::no_owner, {} };
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (monotonic_clock::now() + holderMargin < deadline) {
+        const auto epoch = m_view.epoch();
+        const auto holder = keyHolderOf(epoch.members, order.key);
+        if (holder) {
+            order_request request { {}, route->spec.id, order.key, order.text, {} };
+            last = co_await callHolder(epoch.find(*holder)->address, request, deadline);
+            if (!isPassing(last.why))
+                break;
+            mayHaveRun = mayHaveRun || last.result == outcome::outcome_unknown;
+            m_view.refresh();
+        }
+        timer.expires_after(lookUpPause);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    const bool isOwnWord = isPassing(last.why);
+    if (last.result == outcome::not_run && isOwnWord && mayHaveRun)
+        last.result = outcome::outcome_unknown;
+    --m_open;
+    co_return formatOrder(last.result, last.why, order.key, last.answer, std::chrono::duration_cast<microseconds>(monotonic_clock::now() - startedAt));
+}
+
+awaitable<call_reply> order_handler::callHolder(const std::string& address, const order_request& request, monotonic_time deadline)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const auto timer = std::make_shared<asio::steady_timer>(executor, deadline);
+    const auto result = std::make_shared<call_reply>(call_reply { {}, outcome::outcome_unknown, reason::deadline_passed, {} });
+    auto message = request;
+    message.call = m_calls.open(address, [executor, timer, result](const call_reply& reply) {
+        asio::post(executor, [timer, result, reply] {
+            *result = reply;
+            timer->cancel();
+        });
+    });
+    const auto left = std::chrono::duration_cast<microseconds>(deadline - holderMargin - monotonic_clock::now());
+    message.budget = { left.count(), wallNow().time_since_epoch().count() };
+    m_links.send(address, message);
+    boost::system::error_code ignored;
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    m_calls.forget(message.call);
+    co_return *result;
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/front/search_handler.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+
+#include "cluster_view.h"
+#include "limpetpier/coordination/admission.h"
+#include "limpetpier/coordination/fan_out_plan.h"
+#include "limpetpier/protocol/caller_protocol.h"
+
+namespace limpetpier {
+
+// Answers searches: admission, pinning, fan-out to owners, merge, coverage, deadline.
+//
+// Each query runs on the strand of its caller's connection. The mutexes of this class are leaves.
+class search_handler {
+public:
+    search_handler(cluster_view& view, link_directory& links);
+
+    awaitable<search_answer> answer(front_route_handle route, search_request request);
+
+    // Messages and broken links from owners.
+    void handleReply(const sub_reply& reply);
+    void handleSlow(const slow_notice& notice);
+    void handleClosed(const std::string& address);
+
+    [[nodiscard]] std::size_t openQueries() const;
+
+private:
+    class running_query;
+    using query_handle = std::shared_ptr<running_query>;
+
+    // What the queries of one front share.
+    struct front_policy {
+        explicit front_policy(double hedgeBudget);
+
+        std::mutex mutex;
+        hedge_policy hedges;
+        ratio_budget retries;
+        concurrency_limit admission;
+        std::map<searcher_id, std::uint32_t> outstanding;
+    };
+
+    std::shared_ptr<front_policy> policyOf(const front_spec& front);
+    awaitable<search_answer> runQuery(front_route_handle route, search_request request, std::shared_ptr<front_policy> policy, monotonic_time startedAt);
+    pinned_snapshot orderReplicas(pinned_snapshot pinned, const front_route& route, front_policy& policy);
+    [[nodiscard]] query_handle find(query_number query) const;
+
+    cluster_view& m_view;
+    link_directory& m_links;
+    std::atomic<std::uint64_t> m_nextQuery;
+
+    mutable std::mutex m_mutex;
+    std::map<query_number, query_handle> m_queries;
+    std::map<front_id, std::shared_ptr<front_policy>> m_policies;
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/test/standins/fake_platform.cc
@@ -0,0 +1,241 @@
+// Stand-in for the platform: key-value service with compare-and-swap, leases and watches, and the list of VMs.
+//
+//   GET  /kv/KEY                          value and version
+//   PUT  /kv/KEY?expect=VERSION[&lease=N] write if the version still matches
+//   GET  /watch/KEY?known=VERSION&wait_ms=N
+//   POST /lease?ttl_ms=N, POST /lease/N/renew
+//   GET  /vms, PUT /vms                   the lagging list
+//   POST /fault?down=0|1&lose_answers=N&delay_ms=N, POST /rollback/KEY, GET /calls
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <vector>
+
+#include "limpetpier/transport/http.h"
+#include "limpetpier/transport/settings.h"
+
+using namespace limpetpier;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t maxValueBytes = 1U << 20;
+
+struct stored_value {
+    std::uint64_t version = 0;
+    std::string text;
+    std::uint64_t lease = 0;
+};
+
+std::string parameter(const std::string& target, const std::string& name)
+{
+    const auto start = target.find(name + "=");
+    if (start == std::string::npos)
+        return {};
+    const auto from = start + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+std::uint64_t numberParameter(const std::string& target, const std::string& name)
+{
+    const auto text = parameter(target, name);
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+std::string keyOf(const std::string& target, const std::string& prefix)
+{
+    return target.substr(prefix.size(), target.find('?') - prefix.size());
+}
+
+// All requests run on one thread, so nothing here is locked.
+class platform {
+public:
+    awaitable<http_reply> answer(http_request request)
+    {
+        const auto& target = request.target;
+        if (target.starts_with("/fault"))
+            co_return setFault(target);
+        if (target.starts_with("/rollback/"))
+            co_return rollBack(keyOf(target, "/rollback/"));
+        if (target == "/calls")
+            co_return reply(200, json::object { { "calls", m_calls } });
+        ++m_calls;
+        if (m_down) {
+            auto refused = reply(500, json::object { { "error", "down" } });
+            refused.close = true;
+            co_return refused;
+        }
+        if (m_delayMs > 0)
+            co_await pause(m_delayMs);
+        expireLeases();
+        if (target.starts_with("/kv/") && request.method == "GET")
+            co_return read(keyOf(target, "/kv/"));
+        if (target.starts_with("/kv/") && request.method == "PUT")
+            co_return loseAnswer(write(keyOf(target, "/kv/"), target, request.body));
+        if (target.starts_with("/watch/"))
+            co_return co_await watch(target);
+        if (target.starts_with("/lease"))
+            co_return lease(target);
+        if (target == "/vms" && request.method == "PUT") {
+            m_vms = request.body;
+            co_return reply(200, json::object {});
+        }
+        if (target == "/vms") {
+            http_reply list;
+            list.body = m_vms;
+            co_return list;
+        }
+        co_return reply(404, json::object { { "error", "unknown path" } });
+    }
+
+private:
+    static http_reply reply(unsigned status, const json::object& body)
+    {
+        http_reply result;
+        result.status = status;
+        result.body = json::serialize(body);
+        return result;
+    }
+
+    static awaitable<void> pause(std::uint64_t ms)
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor, milliseconds(ms));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    http_reply setFault(const std::string& target)
+    {
+        if (!parameter(target, "down").empty())
+            m_down = numberParameter(target, "down") != 0;
+        if (!parameter(target, "lose_answers").empty())
+            m_loseAnswers = numberParameter(target, "lose_answers");
+        if (!parameter(target, "delay_ms").empty())
+            m_delayMs = numberParameter(target, "delay_ms");
+        return reply(200, json::object {});
+    }
+
+    http_reply rollBack(const std::string& key)
+    {
+        auto& history = m_history[key];
+        if (history.size() < 2)
+            return reply(404, json::object { { "error", "nothing to go back to" } });
+        history.pop_back();
+        m_values[key].text = history.back();
+        m_values[key].version = ++m_version;
+        return reply(200, json::object {});
+    }
+
+    http_reply read(const std::string& key)
+    {
+        const auto found = m_values.find(key);
+        if (found == m_values.end())
+            return reply(404, json::object { { "error", "no such key" } });
+        return reply(200, json::object { { "version", found->second.version }, { "value", found->second.text } });
+    }
+
+    http_reply write(const std::string& key, const std::string& target, const std::string& body)
+    {
+        if (body.size() > maxValueBytes)
+            return reply(413, json::object { { "error", "value larger than 1 MB" } });
+        auto& value = m_values[key];
+        if (value.version != numberParameter(target, "expect")) {
+            const auto version = value.version;
+            if (version == 0)
+                m_values.erase(key);
+            return reply(409, json::object { { "version", version } });
+        }
+        value.version = ++m_version;
+        value.text = body;
+        value.lease = numberParameter(target, "lease");
+        m_history[key].push_back(body);
+        return reply(200, json::object { { "version", value.version } });
+    }
+
+    // A write whose answer is lost: it took effect, but the caller hears nothing.
+    http_reply loseAnswer(http_reply answer)
+    {
+        if (m_loseAnswers == 0)
+            return answer;
+        --m_loseAnswers;
+        auto lost = reply(500, json::object { { "error", "answer lost" } });
+        lost.close = true;
+        return lost;
+    }
+
+    awaitable<http_reply> watch(std::string target)
+    {
+        const auto key = keyOf(target, "/watch/");
+        const auto known = numberParameter(target, "known");
+        const auto until = monotonic_clock::now() + milliseconds(numberParameter(target, "wait_ms"));
+        while (!m_down && monotonic_clock::now() < until) {
+            const auto found = m_values.find(key);
+            if (found != m_values.end() && found->second.version != known)
+                break;
+            co_await pause(5);
+        }
+        if (m_down) {
+            auto refused = reply(500, json::object { { "error", "down" } });
+            refused.close = true;
+            co_return refused;
+        }
+        co_return read(key);
+    }
+
+    http_reply lease(const std::string& target)
+    {
+        if (target.ends_with("/renew")) {
+            const auto number = std::stoull(target.substr(std::string("/lease/").size()));
+            const auto found = m_leases.find(number);
+            if (found == m_leases.end())
+                return reply(404, json::object { { "error", "lease lapsed" } });
+            found->second.second = monotonic_clock::now() + found->second.first;
+            return reply(200, json::object {});
+        }
+        const milliseconds ttl { numberParameter(target, "ttl_ms") };
+        m_leases[++m_lastLease] = { ttl, monotonic_clock::now() + ttl };
+        return reply(200, json::object { { "lease", m_lastLease } });
+    }
+
+    void expireLeases()
+    {
+        const auto now = monotonic_clock::now();
+        std::erase_if(m_leases, [&](const auto& entry) { return entry.second.second < now; });
+        std::erase_if(m_values, [&](const auto& entry) { return entry.second.lease != 0 && !m_leases.contains(entry.second.lease); });
+    }
+
+    std::map<std::string, stored_value> m_values;
+    std::map<std::string, std::vector<std::string>> m_history;
+    std::map<std::uint64_t, std::pair<milliseconds, monotonic_time>> m_leases;
+    std::string m_vms = "[]";
+    std::uint64_t m_version = 0;
+    std::uint64_t m_lastLease = 0;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_loseAnswers = 0;
+    std::uint64_t m_delayMs = 0;
+    bool m_down = false;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const std::vector<setting> table { { "listen", "", "IP:port", setting_kind::address, true, 0, 0, false } };
+        const auto settings = program_settings::read("fake-platform", "Stand-in for the platform.", table, argc, argv);
+        asio::io_context io(1);
+        platform service;
+        http_limits limits;
+        limits.bodyBytes = 2U << 20;
+        http_server server(io.get_executor(), parseTcpEndpoint(settings.text("listen")), limits, [&](http_request request) { return service.answer(std::move(request)); });
+        asio::signal_set signals(io, SIGTERM, SIGINT);
+        signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
+        io.run();
+        std::_Exit(EXIT_SUCCESS);
+    } catch (const std::exception& error) {
+        std::cerr << "fake-platform: " << error.what() << "\n";
+        return 2;
+    }
+}
