Fault cases, history checker, and failover that costs no budget when nothing reached a target

Change: a broken link takes its node out of the choice until it answers again; only tries that may have reached or waited for a target spend the budget. Also shorter fencing: right and suspicion 1.5 s, a front's own deadline as the limit of left-over work, none for keys (their floor covers it); callers may shorten a deadline, not lengthen it. Ruled out: a larger retry budget, which would also multiply overload.

--- a/include/limpetpier/coordination/dispatch_right.h
+++ b/include/limpetpier/coordination/dispatch_right.h
@@ -10,7 +10,7 @@
 namespace limpetpier {
 
 // How long an acknowledgement by a witness renews a member's right to dispatch.
-constexpr milliseconds dispatchRightTtl { 2000 };
+constexpr milliseconds dispatchRightTtl { 1500 };
 
 // A member's right to send to the searchers that it owns.
 //
@@ -48,28 +48,28 @@
 // requests may live.
 class owner_fence {
 public:
-    // longestDeadline bounds the work that an earlier owner may have started just before it lost its right.
-    owner_fence(node_id self, milliseconds longestDeadline, milliseconds ttl = dispatchRightTtl);
+    explicit owner_fence(node_id self, milliseconds ttl = dispatchRightTtl);
 
     void adopt(const assignment_epoch& epoch, revision_number revision, monotonic_time now);
 
     // Records that a peer knows an epoch and document, and whether it has ended all work that it no longer owns there.
     void heard(const node_id& peer, epoch_number peerEpoch, revision_number peerRevision, bool released, monotonic_time now);
 
-    // True once an earlier owner's right has lapsed without its help.
-    [[nodiscard]] bool fenced(const node_id& owner, monotonic_time now) const;
+    // True once an earlier owner's right has lapsed without its help, and workLimit has passed since.
+    [[nodiscard]] bool fenced(const node_id& owner, milliseconds workLimit, monotonic_time now) const;
 
-    // True once no earlier owner in this list can send any more.
-    [[nodiscard]] bool passed(const std::set<node_id>& earlierOwners, monotonic_time now) const;
+    // True once every earlier owner in this list has released its work or is fenced. workLimit bounds the work that
+    // an owner may have started just before it lost its right.
+    [[nodiscard]] bool passed(const std::set<node_id>& earlierOwners, milliseconds workLimit, monotonic_time now) const;
 
     // Peers whose state passed() still needs.
     [[nodiscard]] std::set<node_id> peersToAsk(const std::set<node_id>& earlierOwners) const;
 
 private:
-    [[nodiscard]] bool isFencedIn(const std::vector<epoch_member>& members, const node_id& owner, monotonic_time now) const;
+    [[nodiscard]] bool isFencedIn(const std::vector<epoch_member>& members, const node_id& owner, milliseconds wait, monotonic_time now) const;
 
     node_id m_self;
-    milliseconds m_wait;
+    milliseconds m_ttl;
     assignment_epoch m_epoch;
     revision_number m_revision;
     std::map<node_id, monotonic_time> m_movedOn; // peer -> when it was first seen in this epoch and document
--- a/include/limpetpier/coordination/fan_out_plan.h
+++ b/include/limpetpier/coordination/fan_out_plan.h
@@ -126,7 +126,7 @@
     };
 
     sub_send makeSend(std::uint32_t piece, bool hedge);
-    std::vector<sub_send> failOver(std::uint32_t piece);
+    std::vector<sub_send> failOver(std::uint32_t piece, bool isFree);
     void merge(std::uint32_t piece, sub_result result);
     void closePiece(std::uint32_t piece);
     [[nodiscard]] bool isAcceptable(const sub_result& result) const;
--- a/include/limpetpier/coordination/suspicion_table.h
+++ b/include/limpetpier/coordination/suspicion_table.h
@@ -23,7 +23,7 @@
 };
 
 // Silence after which a witness suspects a member.
-constexpr milliseconds suspectAfter { 2500 };
+constexpr milliseconds suspectAfter { 1500 };
 
 // Suspicions older than this no longer count.
 constexpr milliseconds suspicionLifetime { 2000 };
--- a/include/limpetpier/protocol/caller_protocol.h
+++ b/include/limpetpier/protocol/caller_protocol.h
@@ -32,7 +32,8 @@
     std::optional<milliseconds> deadline;
 };
 
-search_request parseSearch(const http_request& request);
+// A caller may shorten the front's deadline, not lengthen it.
+search_request parseSearch(const http_request& request, milliseconds longest);
 
 struct order_call {
     idempotency_key key;
@@ -41,7 +42,7 @@
     std::uint32_t attempt = 1; // above 1: an earlier call with the same key may have run
 };
 
-order_call parseOrder(const http_request& request);
+order_call parseOrder(const http_request& request, milliseconds longest);
 
 // Everything that a search answers with.
 struct search_answer {
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -299,7 +299,8 @@
         http_connection connection(m_io.get_executor());
         if (!co_await connection.connect(parseTcpEndpoint(address), statusTimeout))
             co_return std::nullopt;
-        const auto result = co_await connection.exchange({ "GET", "/status", {}, {} }, statusTimeout);
+        http_request request { "GET", "/status", {}, {} };
+        const auto result = co_await connection.exchange(std::move(request), statusTimeout);
         if (result.stage != exchange_stage::replied || result.reply.status != 200)
             co_return std::nullopt;
         co_return json::parse(result.reply.body);
@@ -314,8 +315,12 @@
             const auto state = co_await statusOf(node);
             if (!state)
                 result = exitUnavailable;
-            const auto text = state ? "epoch " + json::serialize(state->at("epoch")) + " revision " + json::serialize(state->at("revision")) : std::string("no answer");
-            print(node + " " + text, json::object { { "node", node }, { "status", state ? *state : json::value(nullptr) } });
+            auto text = node;
+            if (state)
+                text.append(" epoch ").append(json::serialize(state->at("epoch"))).append(" revision ").append(json::serialize(state->at("revision")));
+            else
+                text.append(" gives no answer");
+            print(text, json::object { { "node", node }, { "status", state ? *state : json::value(nullptr) } });
         }
         co_return result;
     }
--- a/programs/dispatch/cluster_agent.cc
+++ b/programs/dispatch/cluster_agent.cc
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr milliseconds probeInterval { 400 };
+constexpr milliseconds probeInterval { 300 };
 constexpr milliseconds watchWait { 10'000 };
 constexpr milliseconds storeRetryDelay { 300 };
 constexpr milliseconds proposeInterval { 200 };
@@ -40,7 +40,7 @@
     , m_epoch(std::make_shared<const assignment_epoch>())
     , m_document(std::make_shared<const operator_document>())
     , m_right(m_settings.self.id)
-    , m_fence(m_settings.self.id, longestDeadline)
+    , m_fence(m_settings.self.id)
     , m_suspicions(m_settings.self.id)
     , m_keys(m_settings.self.id, m_settings.self.incarnation, wallNow())
 {
@@ -369,6 +369,7 @@
             if (ownerOf(m_epoch->members, front, searcher) != m_settings.self.id)
                 continue;
             auto& entry = owned[searcher.id];
+            entry.workLimit = front.deadline;
             const auto known = m_owned.find(searcher.id);
             if (known != m_owned.end() && known->second.active) {
                 entry.active = true;
@@ -394,7 +395,7 @@
 void cluster_agent::activatePassed(monotonic_time now)
 {
     for (auto& [searcher, entry] : m_owned)
-        entry.active = entry.active || m_fence.passed(entry.earlierOwners, now);
+        entry.active = entry.active || m_fence.passed(entry.earlierOwners, entry.workLimit, now);
     m_keys.checkFences(m_fence, now, wallNow());
 }
 
--- a/programs/dispatch/cluster_agent.h
+++ b/programs/dispatch/cluster_agent.h
@@ -92,6 +92,7 @@
     struct ownership {
         bool active = false;
         std::set<node_id> earlierOwners;
+        milliseconds workLimit { 0 }; // longest deadline of the front
     };
 
     awaitable<void> followDocument();
--- a/programs/front/cluster_view.cc
+++ b/programs/front/cluster_view.cc
@@ -135,6 +135,18 @@
     rebuild();
 }
 
+void cluster_view::handleClosed(const std::string& address)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(m_digests, [&](const auto& entry) {
+            const auto* member = m_epoch.find(entry.first);
+            return !member || member->address == address;
+        });
+    }
+    rebuild();
+}
+
 void cluster_view::rebuild()
 {
     const std::lock_guard lock(m_mutex);
--- a/programs/front/cluster_view.h
+++ b/programs/front/cluster_view.h
@@ -51,6 +51,9 @@
     void handleDigest(const node_link_handle& link, const digest_reply& digest);
     void handleState(const state_reply& state);
 
+    // The link to a dispatcher broke: its searchers are not asked again before it answers.
+    void handleClosed(const std::string& address);
+
 private:
     struct node_digest {
         digest_reply digest;
--- a/programs/front/main.cc
+++ b/programs/front/main.cc
@@ -77,6 +77,7 @@
                 m_view.handleState(*state);
         };
         result.onClosed = [this](const node_link_handle& link, bool wasOpen) {
+            m_view.handleClosed(link->peerAddress());
             m_searches.handleClosed(link->peerAddress());
             m_calls.handleClosed(link->peerAddress(), wasOpen);
         };
@@ -110,8 +111,8 @@
         if (m_refusing)
             co_return formatError(503, "this process is stopping; send the request to another one");
         if (route.operation == caller_operation::search)
-            co_return formatSearch(co_await m_searches.answer(front, parseSearch(request)));
-        co_return co_await m_orders.answer(front, parseOrder(request));
+            co_return formatSearch(co_await m_searches.answer(front, parseSearch(request, front->spec.deadline)));
+        co_return co_await m_orders.answer(front, parseOrder(request, front->spec.deadline));
     }
 
     http_reply answerOperators(const http_request& request)
--- /dev/null
+++ b/programs/verify/main.cc
@@ -0,0 +1,59 @@
+#include <fstream>
+#include <iostream>
+
+#include "history_checker.h"
+#include "limpetpier/state/errors.h"
+#include "limpetpier/transport/settings.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr std::size_t shownViolations = 20;
+
+const std::vector<setting>& settingsTable()
+{
+    static const std::vector<setting> table {
+        { "cuts", "0", "1: a request without any reply is a violation", setting_kind::number, true, 0, 1, false },
+        { "withdrawal-ms", "3000", "Time within which new work must end, in milliseconds", setting_kind::number, true, 0, 600'000, false },
+        { "shards", "0", "Shards of the searched front; 0 does not count hits", setting_kind::number, true, 0, 100'000, false },
+    };
+    return table;
+}
+
+int run(int argc, char** argv)
+{
+    const auto settings = program_settings::read("limpet-verify", "Decides the promises from recorded histories given as files.", settingsTable(), argc, argv);
+    checker_options options;
+    options.cutsAreViolations = settings.number("cuts") == 1;
+    options.withdrawalMs = settings.number("withdrawal-ms");
+    options.shards = static_cast<std::uint64_t>(settings.number("shards"));
+    history_checker checker(options);
+    for (const auto& path : settings.positional()) {
+        std::ifstream in(path);
+        if (!in)
+            throw settings_error("file " + path + " cannot be read; check the path");
+        std::string line;
+        while (std::getline(in, line))
+            checker.add(line);
+    }
+    const auto violations = checker.check();
+    for (std::size_t position = 0; position < std::min(violations.size(), shownViolations); ++position)
+        std::cerr << toText(violations[position].kind) << ": " << violations[position].what << "\n";
+    std::cout << checker.operations() << " " << violations.size() << "\n";
+    return violations.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+} // namespace limpetpier
+
+int main(int argc, char** argv)
+{
+    try {
+        return limpetpier::run(argc, argv);
+    } catch (const std::exception& error) {
+        std::cerr << "limpet-verify: " << error.what() << "\n";
+        return 2;
+    }
+}
--- a/src/coordination/dispatch_right.cc
+++ b/src/coordination/dispatch_right.cc
@@ -40,9 +40,9 @@
     return static_cast<std::size_t>(recent) >= acksNeeded(m_witnesses.size());
 }
 
-owner_fence::owner_fence(node_id self, milliseconds longestDeadline, milliseconds ttl)
+owner_fence::owner_fence(node_id self, milliseconds ttl)
     : m_self(std::move(self))
-    , m_wait(ttl + longestDeadline)
+    , m_ttl(ttl)
 {
 }
 
@@ -66,10 +66,10 @@
         m_released.insert(peer);
 }
 
-bool owner_fence::passed(const std::set<node_id>& earlierOwners, monotonic_time now) const
+bool owner_fence::passed(const std::set<node_id>& earlierOwners, milliseconds workLimit, monotonic_time now) const
 {
     return std::all_of(earlierOwners.begin(), earlierOwners.end(), [&](const node_id& owner) {
-        return owner == m_self || m_released.contains(owner) || fenced(owner, now);
+        return owner == m_self || m_released.contains(owner) || fenced(owner, workLimit, now);
     });
 }
 
@@ -87,22 +87,22 @@
     return peers;
 }
 
-bool owner_fence::fenced(const node_id& owner, monotonic_time now) const
+bool owner_fence::fenced(const node_id& owner, milliseconds workLimit, monotonic_time now) const
 {
     const auto blocksIn = [&](const std::vector<epoch_member>& members) {
         const bool isMember = std::any_of(members.begin(), members.end(), [&](const epoch_member& member) { return member.id == owner; });
-        return isMember && !isFencedIn(members, owner, now);
+        return isMember && !isFencedIn(members, owner, m_ttl + workLimit, now);
     };
     const bool blocksEarlier = std::any_of(m_epoch.history.begin(), m_epoch.history.end(), [&](const past_epoch& past) { return blocksIn(past.members); });
     return !blocksEarlier && !blocksIn(m_epoch.members);
 }
 
-bool owner_fence::isFencedIn(const std::vector<epoch_member>& members, const node_id& owner, monotonic_time now) const
+bool owner_fence::isFencedIn(const std::vector<epoch_member>& members, const node_id& owner, milliseconds wait, monotonic_time now) const
 {
     const auto witnesses = witnessesOf(members, owner);
     const auto hasLapsed = [&](const node_id& witness) {
         const auto moved = m_movedOn.find(witness);
-        return moved != m_movedOn.end() && now - moved->second >= m_wait;
+        return moved != m_movedOn.end() && now - moved->second >= wait;
     };
     const auto lapsed = std::count_if(witnesses.begin(), witnesses.end(), hasLapsed);
     return static_cast<std::size_t>(lapsed) >= fencesNeeded(witnesses.size());
--- a/src/coordination/fan_out_plan.cc
+++ b/src/coordination/fan_out_plan.cc
@@ -18,6 +18,24 @@
     return why == reason::queue_full || why == reason::deadline_passed || why == reason::target_shed;
 }
 
+// A try that reached no target and waited for none costs nothing to repeat.
+bool isFree(const sub_result& result)
+{
+    if (result.result != outcome::not_run)
+        return false;
+    switch (result.why) {
+    case reason::not_owner:
+    case reason::right_stale:
+    case reason::withdrawn:
+    case reason::connect_failed:
+    case reason::no_owner:
+    case reason::link_lost:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 fan_out_plan::fan_out_plan(pinned_snapshot pinned, hedge_policy& hedges, ratio_budget& retries)
@@ -57,7 +75,7 @@
     attempt.versionGone = result.why == reason::version_gone;
     state.lastReason = result.result == outcome::answered ? reason::bad_reply : result.why;
     m_metOverload = m_metOverload || isOverload(state.lastReason);
-    return failOver(ref.piece);
+    return failOver(ref.piece, isFree(result));
 }
 
 std::vector<sub_send> fan_out_plan::onSlow(attempt_ref ref)
@@ -131,7 +149,7 @@
     return { { piece, number }, searcher, hedge, delay };
 }
 
-std::vector<sub_send> fan_out_plan::failOver(std::uint32_t piece)
+std::vector<sub_send> fan_out_plan::failOver(std::uint32_t piece, bool isFree)
 {
     auto& state = m_pieces[piece];
     const bool othersOpen = std::any_of(state.attempts.begin(), state.attempts.end(), [](const attempt& item) { return item.open; });
@@ -142,7 +160,8 @@
     const bool allGone = static_cast<std::size_t>(gone) >= replicas;
     m_snapshotLost = m_snapshotLost || allGone;
     const bool roundsLeft = state.attempts.size() < replicas * roundsPerReplica;
-    if (allGone || !roundsLeft || !m_retries.spend()) {
+    const bool mayRetry = !allGone && roundsLeft && (isFree || m_retries.spend());
+    if (!mayRetry) {
         state.failed = true;
         --m_open;
         return {};
--- a/src/coordination/key_holding.cc
+++ b/src/coordination/key_holding.cc
@@ -72,7 +72,8 @@
 {
     for (auto& change : m_transitions) {
         for (auto& [holder, floor] : change.floors) {
-            if (!floor && fence.fenced(holder, now))
+            // What the holder still runs was begun before its right lapsed, so its key is older than the floor.
+            if (!floor && fence.fenced(holder, milliseconds { 0 }, now))
                 floor = wallTime;
         }
     }
--- a/test/dispatch_right_test.cc
+++ b/test/dispatch_right_test.cc
@@ -97,7 +97,7 @@
 {
     const auto before = epochOf(5, 3);
     const auto after = *withoutMember(before, node(0));
-    owner_fence fence(node(1), workLimit, ttl);
+    owner_fence fence(node(1), ttl);
     fence.adopt(after, revision_number { 1 }, start);
     const std::set<node_id> earlier { node(0) };
     const auto hear = [&](int peer, bool released, monotonic_time when, std::uint64_t epoch = 4) {
@@ -106,28 +106,28 @@
 
     SECTION("and starts at once when the earlier owner released its work")
     {
-        REQUIRE_FALSE(fence.passed(earlier, start));
+        REQUIRE_FALSE(fence.passed(earlier, workLimit, start));
         hear(0, true, start);
-        REQUIRE(fence.passed(earlier, start));
+        REQUIRE(fence.passed(earlier, workLimit, start));
     }
 
     SECTION("and does not count a release in an earlier epoch")
     {
         hear(0, true, start, 3);
-        REQUIRE_FALSE(fence.passed(earlier, start));
+        REQUIRE_FALSE(fence.passed(earlier, workLimit, start));
     }
 
     SECTION("and starts after the right and the work of a silent owner must have ended")
     {
         hear(2, false, start);
         hear(3, false, start);
-        REQUIRE_FALSE(fence.passed(earlier, start + ttl + workLimit - milliseconds(1)));
-        REQUIRE(fence.passed(earlier, start + ttl + workLimit));
+        REQUIRE_FALSE(fence.passed(earlier, workLimit, start + ttl + workLimit - milliseconds(1)));
+        REQUIRE(fence.passed(earlier, workLimit, start + ttl + workLimit));
     }
 
     SECTION("and does not start while enough witnesses may still renew the earlier right")
     {
         hear(2, false, start);
-        REQUIRE_FALSE(fence.passed(earlier, start + std::chrono::hours(1)));
+        REQUIRE_FALSE(fence.passed(earlier, workLimit, start + std::chrono::hours(1)));
     }
 }
--- a/test/standins/fake_target.cc
+++ b/test/standins/fake_target.cc
@@ -154,6 +154,7 @@
     {
         ++m_boot;
         m_served = 0;
+        m_inFlight = 0; // what ran in the earlier life has died with it
         m_cold = m_shape.coldRequests > 0;
         if (m_server)
             m_server->cutConnections();
@@ -264,10 +265,12 @@
         while (monotonic_clock::now() < until && monotonic_clock::now() < deadline && !m_cancelled.contains(id))
             co_await pause(std::min(std::chrono::duration_cast<microseconds>(until - monotonic_clock::now()), microseconds(2000)));
         co_await waitWhileFrozen();
+        if (boot != m_boot)
+            co_return reply(500, request, {});
         --m_inFlight;
         if (m_cancelled.erase(id) > 0)
             co_return reply(499, request, {});
-        if (boot == m_boot && m_cold && ++m_served >= m_shape.coldRequests)
+        if (m_cold && ++m_served >= m_shape.coldRequests)
             m_cold = false;
         if (!isSearch)
             co_return reply(200, request, json::object { { "answer", json::object { { "key", request.field("Idempotency-Key") }, { "searcher", m_id }, { "text", request.body } } } });
