Replicas keep their owners when another member goes; quiet owners are found within 80 ms

Two causes of lost coverage, each traced by the reason of the missing shards. 1. Planned stop, reason no_owner: a replica whose owner left took its sibling's owner, so both replicas moved at once. Replicas with a member in their own data centre now choose first, and each member prefers one replica of an instance. The new test of ownership fails on the former function and passes now. 2. Paused dispatcher, reason deadline_passed: nothing arrives on the link, and the link is given up after 1.5 s only. The front now asks a busy owner that sends nothing for 40 ms for a sign of life; after another 40 ms its sub-requests go to other replicas from the retry budget. Ruled out: a shorter link timeout, which would cut orders.

--- a/include/limpetpier/coordination/fan_out_plan.h
+++ b/include/limpetpier/coordination/fan_out_plan.h
@@ -88,6 +88,9 @@
     std::vector<sub_send> onReply(sub_result result);
     std::vector<sub_send> onSlow(attempt_ref ref);
 
+    // The owner that has the try gives no sign of life: asks the other replica, from the retry budget.
+    std::vector<sub_send> onQuietOwner(attempt_ref ref);
+
     // Tries whose piece has been answered by another try since the last call.
     std::vector<sub_cancel> takeCancels();
 
@@ -127,6 +130,7 @@
 
     sub_send makeSend(std::uint32_t piece, bool hedge);
     std::vector<sub_send> failOver(std::uint32_t piece, bool isFree);
+    [[nodiscard]] bool hasReplicaLeft(std::uint32_t piece) const;
     void merge(std::uint32_t piece, sub_result result);
     void closePiece(std::uint32_t piece);
     [[nodiscard]] bool isAcceptable(const sub_result& result) const;
--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -17,9 +17,12 @@
 
 // Keeps a link alive and shows that both ends still hear each other.
 struct ping_message {
+    bool wantsReply = false; // answered at once with another ping
+
     template <typename Archive>
-    void serialize(Archive&)
+    void serialize(Archive& archive)
     {
+        archive(wantsReply);
     }
 };
 
--- a/include/limpetpier/transport/node_link.h
+++ b/include/limpetpier/transport/node_link.h
@@ -22,6 +22,9 @@
     // wasOpen is false when no connection ever came up, so that nothing was sent.
     std::function<void(const node_link_handle&, bool wasOpen)> onClosed;
 
+    // The peer did not answer a ping in time, see link_directory::probeQuiet(). The link stays open.
+    std::function<void(const node_link_handle&)> onQuiet;
+
     // A frame that was not sealed by a node of the deployment; the link is closed afterwards.
     std::function<void(const std::string& what)> onBadFrame;
 };
@@ -44,6 +47,9 @@
     // Queues a message; messages sent before the connection is up wait for it. May be called from any thread.
     void send(const node_message& message);
 
+    // Asks for a sign of life after a time without any; onQuiet is called when the grace passes without one.
+    void probeIfQuiet(milliseconds quiet, milliseconds grace);
+
     void close();
 
     // Address that was connected to; empty for accepted links.
@@ -71,6 +77,9 @@
     // Sends over the link to an address. A failure shows as onClosed with that address.
     void send(const std::string& address, const node_message& message);
 
+    // Checks the link to an address, if there is one, for a peer that has stopped answering.
+    void probeQuiet(const std::string& address, milliseconds quiet, milliseconds grace);
+
     void closeAll();
 
 private:
--- a/programs/front/main.cc
+++ b/programs/front/main.cc
@@ -17,6 +17,12 @@
 
 constexpr milliseconds stopPoll { 20 };
 
+// A dispatcher with open sub-requests that sends nothing for quietAfter is asked for a sign of life; without one within
+// quietGrace its sub-requests go to other replicas.
+constexpr milliseconds quietCheckInterval { 20 };
+constexpr milliseconds quietAfter { 40 };
+constexpr milliseconds quietGrace { 40 };
+
 // Time for the balancer to see that this front is not ready, before it refuses new requests.
 constexpr milliseconds balancerNotice { 500 };
 
@@ -54,6 +60,7 @@
     void start()
     {
         m_view.start();
+        asio::co_spawn(asio::make_strand(m_io), watchOwners(), asio::detached);
         m_signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error)
                 asio::co_spawn(m_io, stop(), asio::detached);
@@ -81,10 +88,28 @@
             m_searches.handleClosed(link->peerAddress());
             m_calls.handleClosed(link->peerAddress(), wasOpen);
         };
+        result.onQuiet = [this](const node_link_handle& link) {
+            m_view.handleClosed(link->peerAddress());
+            m_searches.handleQuiet(link->peerAddress());
+        };
         result.onBadFrame = [](const std::string& what) { logEvent(event::bad_frame, what); };
         return result;
     }
 
+    awaitable<void> watchOwners()
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        for (;;) {
+            const auto expected = monotonic_clock::now() + quietCheckInterval;
+            timer.expires_at(expected);
+            co_await timer.async_wait(asio::use_awaitable);
+            if (monotonic_clock::now() > expected + quietGrace)
+                continue; // this process was held up itself, the owners may be well
+            for (const auto& address : m_searches.busyAddresses())
+                m_links.probeQuiet(address, quietAfter, quietGrace);
+        }
+    }
+
     awaitable<http_reply> answer(http_request request)
     {
         http_reply reply;
--- a/programs/front/search_handler.cc
+++ b/programs/front/search_handler.cc
@@ -95,6 +95,22 @@
         });
     }
 
+    void postQuiet(const std::string& address)
+    {
+        asio::post(m_executor, [self = shared_from_this(), address] {
+            std::vector<attempt_ref> waiting;
+            for (const auto& [ref, place] : self->m_places) {
+                if (place.address == address)
+                    waiting.push_back(ref);
+            }
+            for (const auto& ref : waiting)
+                self->act([&] { return self->m_plan.onQuietOwner(ref); });
+        });
+    }
+
+    // Addresses that the query was routed to.
+    [[nodiscard]] const front_route& route() const { return *m_route; }
+
     [[nodiscard]] const fan_out_plan& plan() const { return m_plan; }
 
 private:
@@ -342,16 +358,39 @@
 
 void search_handler::handleClosed(const std::string& address)
 {
-    std::vector<query_handle> queries;
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const auto& [number, query] : m_queries)
-            queries.push_back(query);
-    }
-    for (const auto& query : queries)
+    for (const auto& query : queries())
         query->postClosed(address);
 }
 
+void search_handler::handleQuiet(const std::string& address)
+{
+    for (const auto& query : queries())
+        query->postQuiet(address);
+}
+
+std::set<std::string> search_handler::busyAddresses() const
+{
+    std::set<std::string> addresses;
+    std::set<const front_route*> seen;
+    for (const auto& query : queries()) {
+        if (!seen.insert(&query->route()).second)
+            continue;
+        for (const auto& [searcher, address] : query->route().ownerAddresses)
+            addresses.insert(address);
+    }
+    return addresses;
+}
+
+std::vector<search_handler::query_handle> search_handler::queries() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<query_handle> result;
+    result.reserve(m_queries.size());
+    for (const auto& [number, query] : m_queries)
+        result.push_back(query);
+    return result;
+}
+
 std::size_t search_handler::openQueries() const
 {
     const std::lock_guard lock(m_mutex);
--- a/programs/front/search_handler.h
+++ b/programs/front/search_handler.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 
 #include "cluster_view.h"
 #include "limpetpier/coordination/admission.h"
@@ -27,6 +28,12 @@
     void handleSlow(const slow_notice& notice);
     void handleClosed(const std::string& address);
 
+    // An owner gives no sign of life although its link is open.
+    void handleQuiet(const std::string& address);
+
+    // Addresses of owners with open sub-requests.
+    [[nodiscard]] std::set<std::string> busyAddresses() const;
+
     [[nodiscard]] std::size_t openQueries() const;
 
 private:
@@ -48,6 +55,7 @@
     awaitable<search_answer> runQuery(front_route_handle route, search_request request, std::shared_ptr<front_policy> policy, monotonic_time startedAt);
     pinned_snapshot orderReplicas(pinned_snapshot pinned, const front_route& route, front_policy& policy);
     [[nodiscard]] query_handle find(query_number query) const;
+    [[nodiscard]] std::vector<query_handle> queries() const;
 
     cluster_view& m_view;
     link_directory& m_links;
--- a/src/coordination/fan_out_plan.cc
+++ b/src/coordination/fan_out_plan.cc
@@ -80,16 +80,28 @@
 
 std::vector<sub_send> fan_out_plan::onSlow(attempt_ref ref)
 {
-    if (ref.piece >= m_pieces.size())
-        return {};
-    auto& state = m_pieces[ref.piece];
-    const bool replicaLeft = state.attempts.size() < m_pinned.pieces[ref.piece].replicas.size();
-    if (state.answered || state.failed || !replicaLeft || !m_hedges.allowHedge())
+    if (!hasReplicaLeft(ref.piece) || !m_hedges.allowHedge())
         return {};
     ++m_hedgesSent;
     return { makeSend(ref.piece, true) };
 }
 
+std::vector<sub_send> fan_out_plan::onQuietOwner(attempt_ref ref)
+{
+    if (!hasReplicaLeft(ref.piece) || !m_retries.spend())
+        return {};
+    return { makeSend(ref.piece, true) };
+}
+
+// True while an open piece has a replica that was not asked yet.
+bool fan_out_plan::hasReplicaLeft(std::uint32_t piece) const
+{
+    if (piece >= m_pieces.size())
+        return false;
+    const auto& state = m_pieces[piece];
+    return !state.answered && !state.failed && state.attempts.size() < m_pinned.pieces[piece].replicas.size();
+}
+
 std::vector<sub_cancel> fan_out_plan::takeCancels()
 {
     return std::exchange(m_cancels, {});
--- a/src/coordination/ownership.cc
+++ b/src/coordination/ownership.cc
@@ -29,40 +29,64 @@
     return result;
 }
 
-} // namespace
-
-std::optional<node_id> ownerOf(const std::vector<epoch_member>& members, const front_spec& front, const searcher_spec& searcher)
+// Searchers that hold the same shard, in the order of their ids.
+std::vector<const searcher_spec*> replicasOf(const front_spec& front, const searcher_spec& searcher)
 {
-    if (members.empty())
-        return std::nullopt;
-    const bool replicated = front.kind == front_kind::fan_out;
-    const auto item = front.id.value() + "/" + (replicated ? std::to_string(searcher.instance) : searcher.id.value());
-    auto candidates = ranked(members, item);
-
-    // Replicas choose in the order of their ids; each takes the best member that no earlier one took.
     std::vector<const searcher_spec*> replicas;
     for (const auto& other : front.searchers) {
-        if (replicated ? other.instance == searcher.instance : other.id == searcher.id)
+        const bool isReplica = front.kind == front_kind::fan_out && other.instance == searcher.instance;
+        if (isReplica || other.id == searcher.id)
             replicas.push_back(&other);
     }
     std::sort(replicas.begin(), replicas.end(), [](const auto* left, const auto* right) { return left->id < right->id; });
+    return replicas;
+}
+
+// The replica that a member serves by preference. It depends on nothing but the two, so siblings rarely want the
+// same member and a change of membership moves few of them.
+std::size_t preferredReplica(const epoch_member& member, const std::string& item, std::size_t replicas)
+{
+    return rendezvousScore("replica/" + item, member.id.value()) % replicas;
+}
+
+// The best member for one replica among those that no sibling has; null if there is none.
+const epoch_member* choose(const std::vector<const epoch_member*>& candidates, const std::vector<const epoch_member*>& owners, const searcher_spec& replica, const std::string& item, std::size_t position, bool localOnly)
+{
+    const epoch_member* second = nullptr;
+    for (const auto* candidate : candidates) {
+        const bool isTaken = std::find(owners.begin(), owners.end(), candidate) != owners.end();
+        if (isTaken || (localOnly && candidate->dataCentre != replica.dataCentre))
+            continue;
+        if (preferredReplica(*candidate, item, owners.size()) == position)
+            return candidate;
+        if (!second)
+            second = candidate;
+    }
+    return second;
+}
+
+} // namespace
+
+std::optional<node_id> ownerOf(const std::vector<epoch_member>& members, const front_spec& front, const searcher_spec& searcher)
+{
+    if (members.empty())
+        return std::nullopt;
+    const auto replicas = replicasOf(front, searcher);
+    const auto item = front.id.value() + "/" + (front.kind == front_kind::fan_out ? std::to_string(searcher.instance) : searcher.id.value());
+    const auto candidates = ranked(members, item);
 
-    std::vector<const epoch_member*> taken;
-    for (const auto* replica : replicas) {
-        const auto isFree = [&](const epoch_member* member) { return std::find(taken.begin(), taken.end(), member) == taken.end(); };
-        const auto isLocal = [&](const epoch_member* member) { return isFree(member) && member->dataCentre == replica->dataCentre; };
-        auto choice = std::find_if(candidates.begin(), candidates.end(), isLocal);
-        if (choice == candidates.end())
-            choice = std::find_if(candidates.begin(), candidates.end(), isFree);
-        if (choice == candidates.end()) {
-            taken.clear(); // more replicas than members
-            choice = candidates.begin();
+    // Replicas with a member in their own data centre choose before the others, so that losing one member moves the
+    // replica that it owned and leaves its siblings where they are.
+    std::vector<const epoch_member*> owners(replicas.size(), nullptr);
+    for (const bool localOnly : { true, false }) {
+        for (std::size_t position = 0; position < replicas.size(); ++position) {
+            if (!owners[position])
+                owners[position] = choose(candidates, owners, *replicas[position], item, position, localOnly);
         }
-        if (replica->id == searcher.id)
-            return (*choice)->id;
-        taken.push_back(*choice);
     }
-    return std::nullopt;
+    const auto own = std::find_if(replicas.begin(), replicas.end(), [&](const auto* replica) { return replica->id == searcher.id; });
+    const auto* owner = owners[static_cast<std::size_t>(own - replicas.begin())];
+    return owner ? owner->id : candidates.front()->id; // more replicas than members
 }
 
 std::optional<node_id> keyHolderOf(const std::vector<epoch_member>& members, const idempotency_key& key)
--- a/src/transport/node_link.cc
+++ b/src/transport/node_link.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio.hpp>
 #include <deque>
+#include <optional>
 
 #include "limpetpier/state/errors.h"
 
@@ -33,6 +34,7 @@
     bool wasOpen = false;
     bool isClosed = false;
     bool isWriting = false;
+    std::optional<monotonic_time> probeSentAt; // an unanswered probeIfQuiet()
 
     awaitable<void> runConnecting(node_link_handle self)
     {
@@ -79,9 +81,8 @@
                 frame.resize(node_codec::parseLength({ length.data(), length.size() }));
                 co_await asio::async_read(socket, asio::buffer(frame), asio::use_awaitable);
                 lastReceived = monotonic_clock::now();
-                auto message = codec.openFrame(frame);
-                if (!std::holds_alternative<ping_message>(message))
-                    handlers.onMessage(self, std::move(message));
+                probeSentAt.reset();
+                receive(self, codec.openFrame(frame));
             }
         } catch (const frame_error& error) {
             if (handlers.onBadFrame)
@@ -92,6 +93,28 @@
         shut(self);
     }
 
+    void receive(const node_link_handle& self, node_message message)
+    {
+        const auto* ping = std::get_if<ping_message>(&message);
+        if (!ping)
+            handlers.onMessage(self, std::move(message));
+        else if (ping->wantsReply)
+            queue(self, codec.sealFrame(ping_message {}));
+    }
+
+    void probeIfQuiet(const node_link_handle& self, milliseconds quiet, milliseconds grace)
+    {
+        const auto now = monotonic_clock::now();
+        if (!isOpen || now - lastReceived < quiet)
+            return;
+        if (!probeSentAt) {
+            probeSentAt = now;
+            queue(self, codec.sealFrame(ping_message { true }));
+        } else if (now - *probeSentAt >= grace && handlers.onQuiet) {
+            handlers.onQuiet(self);
+        }
+    }
+
     awaitable<void> keepAlive(node_link_handle self)
     {
         while (!isClosed) {
@@ -190,6 +213,13 @@
     });
 }
 
+void node_link::probeIfQuiet(milliseconds quiet, milliseconds grace)
+{
+    asio::post(m_implementation->socket.get_executor(), [self = shared_from_this(), quiet, grace] {
+        self->m_implementation->probeIfQuiet(self, quiet, grace);
+    });
+}
+
 void node_link::close()
 {
     asio::post(m_implementation->socket.get_executor(), [self = shared_from_this()] { self->m_implementation->shut(self); });
@@ -228,6 +258,19 @@
     link->send(message);
 }
 
+void link_directory::probeQuiet(const std::string& address, milliseconds quiet, milliseconds grace)
+{
+    node_link_handle link;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_links.find(address);
+        if (found == m_links.end())
+            return;
+        link = found->second;
+    }
+    link->probeIfQuiet(quiet, grace);
+}
+
 void link_directory::closeAll()
 {
     const std::lock_guard lock(m_mutex);
--- a/test/fan_out_plan_test.cc
+++ b/test/fan_out_plan_test.cc
@@ -106,6 +106,14 @@
         REQUIRE(plan.onSlow(first[0].ref).empty());
     }
 
+    SECTION("asks the other replica when an owner gives no sign of life, from the retry budget")
+    {
+        REQUIRE(plan.onQuietOwner(first[0].ref).size() == 1);
+        REQUIRE(plan.onQuietOwner(first[0].ref).empty());
+        REQUIRE(retries.spend());
+        REQUIRE(plan.onQuietOwner(first[1].ref).empty());
+    }
+
     SECTION("knows when its snapshot has vanished")
     {
         const auto next = plan.onReply(refusal(first[0].ref, reason::version_gone));
--- a/test/ownership_test.cc
+++ b/test/ownership_test.cc
@@ -65,7 +65,21 @@
         for (const auto& searcher : single.searchers) {
             const auto before = ownerOf(members, single, searcher);
             if (before != members.back().id)
-                REQUIRE(ownerOf(fewer, single, searcher) == before);
+                REQUIRE(*ownerOf(fewer, single, searcher) == *before);
+        }
+    }
+
+    SECTION("losing the owner of one replica leaves the other replica where it is")
+    {
+        const auto members = membersIn({ "qc-montreal", "qc-laval", "qc-longueuil", "qc-quebec" });
+        for (const auto& lost : members) {
+            auto fewer = members;
+            std::erase(fewer, lost);
+            for (const auto& searcher : front.searchers) {
+                const auto before = ownerOf(members, front, searcher);
+                if (before != lost.id)
+                    REQUIRE(*ownerOf(fewer, front, searcher) == *before);
+            }
         }
     }
 
