Frozen searchers are found by a stalled request; half-sent requests get 408; readiness means settled

A request that runs six times longer than usual now makes its owner ask for a sign of life on another connection; without one in 40 ms running searches end early and fronts fail over. The read is now cancelled by a timer of the server: 408. - planned-stop: a dispatcher said ready before its searchers had been asked, so the next stop met both replicas. Ready now means settled for 300 ms.

--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -15,6 +15,9 @@
 
 constexpr milliseconds maintenanceInterval { 50 };
 
+// A dispatcher counts as ready when it has been settled for this long, so that fronts have heard of its searchers.
+constexpr milliseconds settledFor { 300 };
+
 // Time for the successors to hear that this node released its work, before it exits.
 constexpr milliseconds releaseNotice { 600 };
 
@@ -121,11 +124,21 @@
         asio::steady_timer timer(m_io);
         for (;;) {
             m_orders.reconcile();
+            noteSettled();
             timer.expires_after(maintenanceInterval);
             co_await timer.async_wait(asio::use_awaitable);
         }
     }
 
+    void noteSettled()
+    {
+        const auto now = monotonic_clock::now();
+        const bool settled = m_agent.rightIsFresh(now) && m_agent.pendingCount() == 0 && m_searches.isSettled();
+        if (!settled)
+            m_settledSince = now;
+        m_ready = settled && now - m_settledSince >= settledFor;
+    }
+
     // Gives up ownership, lets running work end, tells the successors, and ends the process.
     awaitable<void> stop()
     {
@@ -151,7 +164,7 @@
         if (request.target == "/healthz") {
             reply.body = "{\"ok\":true}\n";
         } else if (request.target == "/readyz") {
-            const bool ready = !m_stopping && m_agent.rightIsFresh(monotonic_clock::now());
+            const bool ready = !m_stopping && m_ready;
             reply.status = ready ? 200 : 503;
             reply.body = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
         } else if (request.target == "/status") {
@@ -218,6 +231,8 @@
     milliseconds m_stopTimeout;
     asio::signal_set m_signals;
     std::atomic<bool> m_stopping { false };
+    std::atomic<bool> m_ready { false };
+    monotonic_time m_settledSince = monotonic_clock::now();
 };
 
 int run(int argc, char** argv)
--- a/programs/dispatch/search_service.cc
+++ b/programs/dispatch/search_service.cc
@@ -169,6 +169,13 @@
     return ended && std::all_of(m_runtimes.begin(), m_runtimes.end(), [&](const auto& entry) { return m_agent.owns(entry.first) || entry.second->openJobs() == 0; });
 }
 
+bool search_service::isSettled() const
+{
+    const auto document = m_agent.document();
+    const auto all = runtimes();
+    return std::all_of(all.begin(), all.end(), [&](const auto& runtime) { return runtime->hasBeenAsked() || !document->takesNewWork(runtime->spec()); });
+}
+
 std::size_t search_service::openJobs() const
 {
     const std::lock_guard lock(m_mutex);
--- a/programs/dispatch/search_service.h
+++ b/programs/dispatch/search_service.h
@@ -33,6 +33,9 @@
     // True when no job is left for a searcher that this node does not own any more.
     [[nodiscard]] bool isReleased() const;
 
+    // True when every owned searcher that takes work is active and has been asked what it holds.
+    [[nodiscard]] bool isSettled() const;
+
     [[nodiscard]] std::size_t openJobs() const;
     [[nodiscard]] digest_reply digest() const;
     [[nodiscard]] std::vector<std::shared_ptr<searcher_runtime>> runtimes() const;
--- a/programs/dispatch/searcher_runtime.cc
+++ b/programs/dispatch/searcher_runtime.cc
@@ -10,9 +10,17 @@
 namespace {
 
 constexpr milliseconds refreshInterval { 250 };
+constexpr milliseconds barredCheckInterval { 25 };
 constexpr milliseconds refreshTimeout { 300 };
 constexpr milliseconds connectTimeout { 250 };
 
+// A request that runs this many times longer than usual, and at least leastStall, makes the owner ask the searcher for
+// a sign of life on another connection; without one within stallTimeout the searcher counts as unreachable.
+constexpr int stallFactor = 6;
+constexpr milliseconds leastStall { 25 };
+constexpr milliseconds unknownStall { 60 };
+constexpr milliseconds stallTimeout { 40 };
+
 // Refreshes in a row that fail before a searcher counts as unreachable.
 constexpr std::uint32_t failuresMeanUnreachable = 2;
 
@@ -185,6 +193,8 @@
     if (entry.job.slowAfter.count() > 0 && entry.job.slowAfter < left)
         asio::co_spawn(m_executor, watchSlow(item.token, entry.job.slowAfter, self), asio::detached);
 
+    asio::co_spawn(m_executor, watchStall(item.token, self), asio::detached);
+
     const auto exchanged = co_await connection->exchange(makeTargetRequest(request), left + answerGrace);
     const auto serviceTime = std::chrono::duration_cast<microseconds>(monotonic_clock::now() - startedAt);
     slot_end slot = slot_end::cut;
@@ -253,6 +263,40 @@
         found->second.job.onSlow();
 }
 
+awaitable<void> searcher_runtime::watchStall(gate_token token, std::shared_ptr<searcher_runtime> self)
+{
+    asio::steady_timer timer(self->m_executor, self->stallAfter());
+    co_await timer.async_wait(asio::use_awaitable);
+    if (!self->m_jobs.contains(token) || self->m_checkingStall || !self->m_reachable)
+        co_return;
+    self->m_checkingStall = true;
+    auto connection = co_await self->takeConnection();
+    bool alive = false;
+    if (connection) {
+        const auto exchanged = co_await connection->exchange(makeStateRequest(), stallTimeout);
+        alive = exchanged.stage == exchange_stage::replied;
+        self->giveBack(std::move(connection));
+    }
+    self->m_checkingStall = false;
+    if (!alive)
+        self->noteUnreachable();
+}
+
+milliseconds searcher_runtime::stallAfter() const
+{
+    const auto typical = m_record->typical();
+    return typical ? std::max(leastStall, std::chrono::ceil<milliseconds>(stallFactor * *typical)) : unknownStall;
+}
+
+// Ends running searches early, so that their fronts ask other replicas. Non-idempotent requests wait for their answer.
+void searcher_runtime::abandonSearches()
+{
+    for (const auto& [token, entry] : m_jobs) {
+        if (entry.connection && entry.job.request.isSearch())
+            entry.connection->close();
+    }
+}
+
 awaitable<void> searcher_runtime::sendCancel(std::string requestId, std::shared_ptr<searcher_runtime> self)
 {
     auto connection = co_await self->takeConnection();
@@ -327,6 +371,7 @@
         return;
     m_gate.observe(searcher_evidence::refused);
     refuseAll(reason::connect_failed);
+    abandonSearches();
 }
 
 void searcher_runtime::noteVersionGone(snapshot_id snapshot)
@@ -353,12 +398,13 @@
 {
     asio::steady_timer timer(self->m_executor);
     while (!m_stopped) {
-        if (const auto why = m_whyNotSend(); why == reason::none)
+        const auto why = m_whyNotSend();
+        if (why == reason::none)
             co_await refresh();
         else
             refuseAll(why);
         pump();
-        timer.expires_after(refreshInterval);
+        timer.expires_after(why == reason::none ? refreshInterval : barredCheckInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
@@ -380,6 +426,7 @@
             state = parseTargetState(exchanged.reply);
         giveBack(std::move(connection));
     }
+    m_asked = true;
     if (!state) {
         if (++m_failedRefreshes >= failuresMeanUnreachable)
             noteUnreachable();
--- a/programs/dispatch/searcher_runtime.h
+++ b/programs/dispatch/searcher_runtime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <deque>
 #include <functional>
@@ -75,6 +76,9 @@
     [[nodiscard]] searcher_report report() const;
     [[nodiscard]] ramp_state rampState() const;
 
+    // True once the searcher was asked what it holds, whether or not it answered.
+    [[nodiscard]] bool hasBeenAsked() const { return m_asked; }
+
     // Jobs queued or running.
     [[nodiscard]] std::size_t openJobs() const;
 
@@ -92,6 +96,7 @@
     awaitable<void> refresh();
     awaitable<void> run(gate_item item, std::shared_ptr<searcher_runtime> self);
     awaitable<void> watchSlow(gate_token token, microseconds after, std::shared_ptr<searcher_runtime> self);
+    awaitable<void> watchStall(gate_token token, std::shared_ptr<searcher_runtime> self);
     awaitable<void> sendCancel(std::string requestId, std::shared_ptr<searcher_runtime> self);
     awaitable<std::shared_ptr<http_connection>> takeConnection();
     void giveBack(std::shared_ptr<http_connection> connection);
@@ -100,6 +105,8 @@
     void refuseAll(reason why);
     void noteBoot(boot_id boot);
     void noteUnreachable();
+    void abandonSearches();
+    [[nodiscard]] milliseconds stallAfter() const;
     void noteVersionGone(snapshot_id snapshot);
     void publish();
     job_result judge(const target_request& request, const exchange_result& exchanged, slot_end& slot);
@@ -118,6 +125,8 @@
     bool m_draining = false;
     bool m_stopped = false;
     std::uint32_t m_failedRefreshes = 0;
+    std::atomic<bool> m_asked { false };
+    bool m_checkingStall = false;
     std::vector<held_snapshot> m_held;
     ramp_state m_loggedState = ramp_state::probing;
 
--- a/src/transport/http.cc
+++ b/src/transport/http.cc
@@ -42,7 +42,7 @@
         return errorReply(431, "header larger than " + std::to_string(limits.headerBytes) + " bytes; send fewer or shorter fields");
     if (error == http::error::body_limit)
         return errorReply(413, "body larger than " + std::to_string(limits.bodyBytes) + " bytes; send a shorter request");
-    if (error == beast::error::timeout)
+    if (error == asio::error::operation_aborted)
         return errorReply(408, "request incomplete after " + std::to_string(limits.requestTimeout.count()) + " ms; send it whole");
     return errorReply(400, "malformed HTTP request: " + error.message());
 }
@@ -137,8 +137,7 @@
             parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
             parser.body_limit(m_limits.bodyBytes);
             beast::error_code error;
-            stream.expires_after(m_limits.requestTimeout);
-            co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            co_await readWithin(stream, buffer, parser, error);
             if (error == http::error::end_of_stream)
                 co_return;
             http_reply reply;
@@ -146,7 +145,6 @@
             if (error) {
                 reply = replyToReadError(error, m_limits);
             } else {
-                stream.expires_never();
                 keepAlive = parser.get().keep_alive();
                 reply = co_await m_handle(convert(parser.release()));
             }
@@ -157,6 +155,20 @@
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
+    // Reads one request. At the timeout only the read is cancelled, so that the client still gets an answer.
+    awaitable<void> readWithin(beast::tcp_stream& stream, beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser, beast::error_code& error)
+    {
+        stream.expires_never();
+        asio::steady_timer timer(stream.get_executor(), m_limits.requestTimeout);
+        timer.async_wait([&stream](const beast::error_code& cancelled) {
+            if (!cancelled)
+                stream.socket().cancel();
+        });
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (timer.cancel() == 0 && !error)
+            co_await asio::post(stream.get_executor(), asio::use_awaitable); // the timer's handler is under way
+    }
+
     // Idle connections wait without a request timeout; false when the client closed.
     awaitable<bool> waitForFirstByte(beast::tcp_stream& stream, beast::flat_buffer& buffer)
     {
