Silent connections to targets and between nodes; relay stand-in; metrics for each tenant and front

Now two idle connections are kept, an old one is asked first and a new one second; searches on silent connections are cancelled at the target and sent again under an id of their own.

--- /dev/null
+++ b/include/limpetpier/transport/metrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace limpetpier {
+
+// Upper bounds of the histogram buckets, in seconds; a last bucket has no bound.
+constexpr std::array<double, 12> latencyBuckets { 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.1, 0.17, 0.25, 0.5, 1 };
+
+// Who a measurement belongs to: one line of metrics for each combination.
+struct metric_labels {
+    std::string tenant;
+    std::string front;
+    std::string outcome;
+
+    auto operator<=>(const metric_labels&) const = default;
+};
+
+// Counters, gauges and latency histograms of one process in the Prometheus text format. Its mutex is a leaf.
+//
+//     metrics.observe("limpet_request_seconds", { "tranchet", "comptoir", "answered" }, 0.009);
+//     reply.body = metrics.render();
+class metrics_registry {
+public:
+    void observe(const std::string& name, const metric_labels& labels, double seconds);
+    void add(const std::string& name, const metric_labels& labels, double amount);
+    void set(const std::string& name, double value);
+
+    [[nodiscard]] std::string render() const;
+
+private:
+    struct histogram {
+        boost::accumulators::accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max>> totals;
+        std::array<std::uint64_t, latencyBuckets.size() + 1> buckets {};
+    };
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::map<metric_labels, histogram>> m_histograms;
+    std::map<std::string, std::map<metric_labels, double>> m_counters;
+    std::map<std::string, double> m_gauges;
+};
+
+} // namespace limpetpier
--- a/include/limpetpier/transport/node_link.h
+++ b/include/limpetpier/transport/node_link.h
@@ -115,6 +115,9 @@
 
     void send(const probe_message& message, const asio::ip::udp::endpoint& peer);
 
+    // Payload bytes sent so far.
+    [[nodiscard]] std::uint64_t bytesSent() const;
+
 private:
     class implementation;
     std::shared_ptr<implementation> m_implementation;
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -27,6 +27,7 @@
         { "node", "", "Name of this node, unique in the deployment", setting_kind::text, true, 0, 0, false },
         { "data-centre", "", "Data centre of this node", setting_kind::text, true, 0, 0, false },
         { "listen", "", "IP:port for other nodes, TCP and UDP", setting_kind::address, true, 0, 0, false },
+        { "advertise", "", "IP:port at which other nodes reach --listen, if it is another one", setting_kind::address, false, 0, 0, false },
         { "http", "", "IP:port for health, metrics and status", setting_kind::address, true, 0, 0, false },
         { "store", "", "IP:port of the platform's key-value service", setting_kind::address, true, 0, 0, false },
         { "peers", "", "IP:port list of dispatchers to ask while the store is down", setting_kind::text, false, 0, 0, false },
@@ -43,7 +44,7 @@
     epoch_member self;
     self.id = node_id { settings.text("node") };
     self.dataCentre = data_centre_id { settings.text("data-centre") };
-    self.address = settings.text("listen");
+    self.address = settings.text("advertise").empty() ? settings.text("listen") : settings.text("advertise");
     self.incarnation = incarnation_number { static_cast<std::uint64_t>(wallNow().time_since_epoch().count()) };
     return self;
 }
@@ -56,7 +57,7 @@
         , m_codec(settings.text("deployment"), settings.text("node-secret"))
         , m_links(io.get_executor(), m_codec, handlers())
         , m_agent(io.get_executor(), { makeSelf(settings), settings.text("store"), settings.list("peers") }, m_codec, m_links, hooks())
-        , m_searches(io.get_executor(), m_agent)
+        , m_searches(io.get_executor(), m_agent, m_metrics)
         , m_orders(io.get_executor(), m_agent, m_searches, m_links, m_calls)
         , m_server(io.get_executor(), parseTcpEndpoint(settings.text("listen")), m_codec, handlers())
         , m_probes(
@@ -167,6 +168,9 @@
             const bool ready = !m_stopping && m_ready;
             reply.status = ready ? 200 : 503;
             reply.body = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
+        } else if (request.target == "/metrics") {
+            reply.contentType = "text/plain; version=0.0.4";
+            reply.body = metrics();
         } else if (request.target == "/status") {
             reply.body = status();
         } else {
@@ -176,6 +180,21 @@
         co_return reply;
     }
 
+    std::string metrics()
+    {
+        const auto now = monotonic_clock::now();
+        m_metrics.set("limpet_epoch", static_cast<double>(m_agent.epoch()->number.value()));
+        m_metrics.set("limpet_revision", static_cast<double>(m_agent.document()->revision.value()));
+        m_metrics.set("limpet_right_fresh", m_agent.rightIsFresh(now) ? 1 : 0);
+        m_metrics.set("limpet_owned_searchers", static_cast<double>(m_agent.ownedCount()));
+        m_metrics.set("limpet_pending_searchers", static_cast<double>(m_agent.pendingCount()));
+        m_metrics.set("limpet_open_jobs", static_cast<double>(m_searches.openJobs()));
+        m_metrics.set("limpet_idempotency_records", static_cast<double>(m_orders.records()));
+        m_metrics.set("limpet_store_calls", static_cast<double>(m_agent.storeCalls()));
+        m_metrics.set("limpet_probe_bytes_sent", static_cast<double>(m_probes.bytesSent()));
+        return m_metrics.render();
+    }
+
     std::string status() const
     {
         boost::json::array searchers;
@@ -221,6 +240,7 @@
     asio::io_context& m_io;
     node_codec m_codec;
     call_table m_calls;
+    metrics_registry m_metrics;
     link_directory m_links;
     cluster_agent m_agent;
     search_service m_searches;
--- a/programs/dispatch/search_service.cc
+++ b/programs/dispatch/search_service.cc
@@ -15,9 +15,10 @@
     return now + microseconds { budget.remainingUs } - onTheWay;
 }
 
-search_service::search_service(asio::any_io_executor executor, cluster_agent& agent)
+search_service::search_service(asio::any_io_executor executor, cluster_agent& agent, metrics_registry& metrics)
     : m_executor(std::move(executor))
     , m_agent(agent)
+    , m_metrics(metrics)
 {
 }
 
@@ -51,7 +52,12 @@
     job.priority = batch.priority;
     job.slowAfter = item.hedge ? microseconds { 0 } : microseconds { batch.slowAfterUs };
     job.onSlow = [link, query = batch.query, ref = item.ref] { link->send(slow_notice { query, ref }); };
-    job.onEnd = [this, link, key](const job_result& result) {
+    job.onEnd = [this, link, key, front = batch.front](const job_result& result) {
+        const metric_labels labels { tenantOf(front), front.value(), std::string(toText(result.result)) };
+        if (result.serviceTime.count() > 0)
+            m_metrics.observe("limpet_service_seconds", labels, std::chrono::duration<double>(result.serviceTime).count());
+        else
+            m_metrics.add("limpet_refused_sub_requests_total", { labels.tenant, labels.front, std::string(toText(result.why)) }, 1);
         {
             const std::lock_guard lock(m_mutex);
             m_jobs.erase(key);
@@ -61,6 +67,13 @@
     runtime->submit(token, std::move(job));
 }
 
+std::string search_service::tenantOf(const front_id& front) const
+{
+    const auto document = m_agent.document();
+    const auto found = document->fronts.find(front);
+    return found == document->fronts.end() ? std::string() : found->second.tenant.value();
+}
+
 void search_service::handleCancel(const node_link_handle& link, const cancel_message& message)
 {
     for (const auto& ref : message.refs) {
--- a/programs/dispatch/search_service.h
+++ b/programs/dispatch/search_service.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cluster_agent.h"
+#include "limpetpier/transport/metrics.h"
 #include "searcher_runtime.h"
 
 namespace limpetpier {
@@ -16,7 +17,7 @@
 // Its table's mutex comes before cluster_agent's in the lock order.
 class search_service {
 public:
-    search_service(asio::any_io_executor executor, cluster_agent& agent);
+    search_service(asio::any_io_executor executor, cluster_agent& agent, metrics_registry& metrics);
 
     void handleBatch(const node_link_handle& link, const search_batch& batch);
     void handleCancel(const node_link_handle& link, const cancel_message& message);
@@ -57,10 +58,12 @@
     };
 
     void submit(const node_link_handle& link, const search_batch& batch, const batch_item& item, monotonic_time deadline);
+    [[nodiscard]] std::string tenantOf(const front_id& front) const;
     reason whyNotSend(const searcher_spec& searcher) const;
 
     asio::any_io_executor m_executor;
     cluster_agent& m_agent;
+    metrics_registry& m_metrics;
     std::atomic<std::uint64_t> m_nextToken { 0 };
 
     mutable std::mutex m_mutex;
--- a/programs/dispatch/searcher_runtime.cc
+++ b/programs/dispatch/searcher_runtime.cc
@@ -20,6 +20,10 @@
 constexpr milliseconds leastStall { 25 };
 constexpr milliseconds unknownStall { 60 };
 constexpr milliseconds stallTimeout { 40 };
+constexpr const char* resentSuffix = "-resent";
+
+// Idle connections kept ready, so that requests rarely pay for a new one and a stall can be checked on an old one.
+constexpr std::size_t leastIdle = 2;
 
 // Refreshes in a row that fail before a searcher counts as unreachable.
 constexpr std::uint32_t failuresMeanUnreachable = 2;
@@ -82,7 +86,7 @@
     }
     asio::post(m_executor, [self = shared_from_this(), token, job = std::move(job)]() mutable {
         const gate_item item { token, job.deadline, job.hedge, job.priority };
-        self->m_jobs.emplace(token, open_job { std::move(job), false, false, nullptr });
+        self->m_jobs.emplace(token, open_job(std::move(job)));
         const auto now = monotonic_clock::now();
         auto why = self->m_stopped ? reason::not_owner : self->m_whyNotSend();
         if (why == reason::none && self->m_draining)
@@ -195,7 +199,7 @@
 
     asio::co_spawn(m_executor, watchStall(item.token, self), asio::detached);
 
-    const auto exchanged = co_await connection->exchange(makeTargetRequest(request), left + answerGrace);
+    const auto exchanged = co_await exchangeOnce(item.token, connection, request, item.deadline);
     const auto serviceTime = std::chrono::duration_cast<microseconds>(monotonic_clock::now() - startedAt);
     slot_end slot = slot_end::cut;
     auto result = judge(request, exchanged, slot);
@@ -205,13 +209,35 @@
     if (exchanged.stage != exchange_stage::replied && monotonic_clock::now() >= item.deadline) {
         // No byte until the deadline: this connection and those unused for longer may have gone silent.
         logEvent(event::connection_silent, "searcher=" + m_spec.id.value());
-        m_open -= m_idle.size();
-        m_idle.clear();
+        dropIdle();
     }
     giveBack(std::move(connection));
     finish(slot, result);
 }
 
+// One exchange; a search whose connection turned out silent goes on another one, after the target was told to drop it.
+awaitable<exchange_result> searcher_runtime::exchangeOnce(gate_token token, std::shared_ptr<http_connection>& connection, target_request& request, monotonic_time deadline)
+{
+    const auto timeLeft = [deadline] { return std::chrono::duration_cast<microseconds>(deadline - monotonic_clock::now()) + answerGrace; };
+    auto exchanged = co_await connection->exchange(makeTargetRequest(request), timeLeft());
+    auto& entry = m_jobs.at(token);
+    const bool sendAgain = exchanged.stage != exchange_stage::replied && entry.onSilentConnection && monotonic_clock::now() < deadline;
+    if (!sendAgain)
+        co_return exchanged;
+    giveBack(std::move(connection));
+    connection = co_await openConnection();
+    if (!connection) {
+        connection = std::make_shared<http_connection>(m_executor); // closed: giveBack() only counts it
+        ++m_open;
+        co_return exchanged;
+    }
+    entry.connection = connection;
+    // The target may remember the cancellation of the first try, so the second one has an id of its own.
+    request.requestId += resentSuffix;
+    entry.job.request.requestId = request.requestId;
+    co_return co_await connection->exchange(makeTargetRequest(request), timeLeft());
+}
+
 job_result searcher_runtime::judge(const target_request& request, const exchange_result& exchanged, slot_end& slot)
 {
     if (exchanged.stage == exchange_stage::not_written) {
@@ -270,16 +296,59 @@
     if (!self->m_jobs.contains(token) || self->m_checkingStall || !self->m_reachable)
         co_return;
     self->m_checkingStall = true;
-    auto connection = co_await self->takeConnection();
-    bool alive = false;
-    if (connection) {
-        const auto exchanged = co_await connection->exchange(makeStateRequest(), stallTimeout);
-        alive = exchanged.stage == exchange_stage::replied;
-        self->giveBack(std::move(connection));
+    const bool hasOld = !self->m_idle.empty();
+    const bool oldAnswers = hasOld && co_await self->answersOn(co_await self->takeConnection());
+    if (!oldAnswers) {
+        const auto fresh = co_await self->openConnection();
+        const bool freshAnswers = co_await self->answersOn(fresh);
+        if (!freshAnswers)
+            self->noteUnreachable();
+        else if (hasOld)
+            co_await self->leaveSilentConnections(fresh);
     }
     self->m_checkingStall = false;
-    if (!alive)
-        self->noteUnreachable();
+}
+
+// True if the searcher answers on a connection; gives the connection back.
+awaitable<bool> searcher_runtime::answersOn(std::shared_ptr<http_connection> connection)
+{
+    if (!connection)
+        co_return false;
+    const auto exchanged = co_await connection->exchange(makeStateRequest(), stallTimeout);
+    giveBack(std::move(connection));
+    co_return exchanged.stage == exchange_stage::replied;
+}
+
+// The searcher is well on a new connection, so those opened before have gone silent. Running searches are cancelled at
+// the target, which frees their slots, and sent again.
+awaitable<void> searcher_runtime::leaveSilentConnections(std::shared_ptr<http_connection> fresh)
+{
+    logEvent(event::connection_silent, "searcher=" + m_spec.id.value());
+    std::erase(m_idle, fresh);
+    dropIdle();
+    std::vector<gate_token> stalled;
+    for (const auto& [token, entry] : m_jobs) {
+        if (entry.connection && entry.job.request.isSearch())
+            stalled.push_back(token);
+    }
+    for (const auto token : stalled) {
+        const auto found = m_jobs.find(token);
+        if (found == m_jobs.end())
+            continue;
+        co_await fresh->exchange(makeCancelRequest(found->second.job.request.requestId), stallTimeout);
+        const auto still = m_jobs.find(token);
+        if (still == m_jobs.end())
+            continue;
+        still->second.onSilentConnection = true;
+        still->second.connection->close();
+    }
+    giveBack(fresh);
+}
+
+void searcher_runtime::dropIdle()
+{
+    m_open -= m_idle.size();
+    m_idle.clear();
 }
 
 milliseconds searcher_runtime::stallAfter() const
@@ -316,6 +385,11 @@
             co_return connection;
         --m_open;
     }
+    co_return co_await openConnection();
+}
+
+awaitable<std::shared_ptr<http_connection>> searcher_runtime::openConnection()
+{
     if (m_open >= m_limits.connections)
         co_return nullptr;
     ++m_open;
@@ -443,6 +517,10 @@
     m_draining = state->draining;
     m_held = std::move(state->held);
     publish();
+    if (m_idle.size() < leastIdle) {
+        if (auto spare = co_await openConnection())
+            giveBack(std::move(spare));
+    }
 }
 
 } // namespace limpetpier
--- a/programs/dispatch/searcher_runtime.h
+++ b/programs/dispatch/searcher_runtime.h
@@ -86,9 +86,15 @@
 
 private:
     struct open_job {
+        explicit open_job(searcher_job submitted)
+            : job(std::move(submitted))
+        {
+        }
+
         searcher_job job;
         bool running = false;
         bool cancelRequested = false;
+        bool onSilentConnection = false; // the search may be sent again on another connection
         std::shared_ptr<http_connection> connection;
     };
 
@@ -99,6 +105,11 @@
     awaitable<void> watchStall(gate_token token, std::shared_ptr<searcher_runtime> self);
     awaitable<void> sendCancel(std::string requestId, std::shared_ptr<searcher_runtime> self);
     awaitable<std::shared_ptr<http_connection>> takeConnection();
+    awaitable<std::shared_ptr<http_connection>> openConnection();
+    awaitable<bool> answersOn(std::shared_ptr<http_connection> connection);
+    awaitable<exchange_result> exchangeOnce(gate_token token, std::shared_ptr<http_connection>& connection, target_request& request, monotonic_time deadline);
+    awaitable<void> leaveSilentConnections(std::shared_ptr<http_connection> fresh);
+    void dropIdle();
     void giveBack(std::shared_ptr<http_connection> connection);
     void pump();
     void end(gate_token token, const job_result& result);
--- a/programs/front/main.cc
+++ b/programs/front/main.cc
@@ -7,6 +7,7 @@
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/events.h"
 #include "limpetpier/transport/http.h"
+#include "limpetpier/transport/metrics.h"
 #include "limpetpier/transport/settings.h"
 #include "order_handler.h"
 #include "search_handler.h"
@@ -136,10 +137,40 @@
         if (m_refusing)
             co_return formatError(503, "this process is stopping; send the request to another one");
         if (route.operation == caller_operation::search)
-            co_return formatSearch(co_await m_searches.answer(front, parseSearch(request, front->spec.deadline)));
-        co_return co_await m_orders.answer(front, parseOrder(request, front->spec.deadline));
+            co_return co_await serveSearch(front, parseSearch(request, front->spec.deadline));
+        co_return co_await serveOrder(front, parseOrder(request, front->spec.deadline));
     }
 
+    awaitable<http_reply> serveSearch(front_route_handle front, search_request request)
+    {
+        const auto answer = co_await m_searches.answer(front, std::move(request));
+        auto labels = labelsOf(*front, answer.result);
+        m_metrics.observe("limpet_request_seconds", labels, secondsOf(answer.elapsed));
+        labels.outcome.clear();
+        m_metrics.add("limpet_sub_requests_total", labels, static_cast<double>(answer.subRequests));
+        m_metrics.add("limpet_hedges_total", labels, static_cast<double>(answer.hedges));
+        if (answer.result == outcome::answered) {
+            m_metrics.add("limpet_answered_coverage_total", labels, answer.coverage.fraction);
+            m_metrics.add("limpet_answered_incomplete_total", labels, answer.coverage.fraction < 1 ? 1 : 0);
+        }
+        co_return formatSearch(answer);
+    }
+
+    awaitable<http_reply> serveOrder(front_route_handle front, order_call order)
+    {
+        const auto key = order.key;
+        const auto answer = co_await m_orders.answer(front, std::move(order));
+        m_metrics.observe("limpet_request_seconds", labelsOf(*front, answer.result), secondsOf(answer.elapsed));
+        co_return formatOrder(answer.result, answer.why, key, answer.text, answer.elapsed);
+    }
+
+    static metric_labels labelsOf(const front_route& front, outcome result)
+    {
+        return { front.spec.tenant.value(), front.spec.id.value(), std::string(toText(result)) };
+    }
+
+    static double secondsOf(microseconds duration) { return std::chrono::duration<double>(duration).count(); }
+
     http_reply answerOperators(const http_request& request)
     {
         http_reply reply;
@@ -149,6 +180,12 @@
             const bool ready = !m_stopping && m_view.isReady();
             reply.status = ready ? 200 : 503;
             reply.body = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
+        } else if (request.target == "/metrics") {
+            m_metrics.set("limpet_epoch", static_cast<double>(m_view.epoch().number.value()));
+            m_metrics.set("limpet_revision", static_cast<double>(m_view.revision().value()));
+            m_metrics.set("limpet_open_queries", static_cast<double>(m_searches.openQueries()));
+            reply.contentType = "text/plain; version=0.0.4";
+            reply.body = m_metrics.render();
         } else if (request.target == "/status") {
             reply.body = boost::json::serialize(boost::json::object {
                              { "epoch", m_view.epoch().number.value() },
@@ -186,6 +223,7 @@
     asio::io_context& m_io;
     node_codec m_codec;
     call_table m_calls;
+    metrics_registry m_metrics;
     link_directory m_links;
     cluster_view m_view;
     search_handler m_searches;
--- a/programs/front/order_handler.cc
+++ b/programs/front/order_handler.cc
@@ -29,7 +29,7 @@
 {
 }
 
-awaitable<http_reply> order_handler::answer(front_route_handle route, order_call order)
+awaitable<order_answer> order_handler::answer(front_route_handle route, order_call order)
 {
     ++m_open;
     const auto startedAt = monotonic_clock::now();
@@ -56,7 +56,7 @@
     if (last.result == outcome::not_run && isOwnWord && mayHaveRun)
         last.result = outcome::outcome_unknown;
     --m_open;
-    co_return formatOrder(last.result, last.why, order.key, last.answer, std::chrono::duration_cast<microseconds>(monotonic_clock::now() - startedAt));
+    co_return order_answer { last.result, last.why, last.answer, std::chrono::duration_cast<microseconds>(monotonic_clock::now() - startedAt) };
 }
 
 awaitable<call_reply> order_handler::callHolder(const std::string& address, const order_request& request, monotonic_time deadline)
--- a/programs/front/order_handler.h
+++ b/programs/front/order_handler.h
@@ -8,6 +8,14 @@
 
 namespace limpetpier {
 
+// What became of an order.
+struct order_answer {
+    outcome result = outcome::not_run;
+    reason why = reason::none;
+    std::string text; // the target's own answer
+    microseconds elapsed { 0 };
+};
+
 // Takes orders to the holder of their key, and says truthfully what became of them.
 //
 // The same key may be sent again after a broken link or a change of epoch: the holder runs it at most once.
@@ -15,7 +23,7 @@
 public:
     order_handler(cluster_view& view, link_directory& links, call_table& calls);
 
-    awaitable<http_reply> answer(front_route_handle route, order_call order);
+    awaitable<order_answer> answer(front_route_handle route, order_call order);
 
     [[nodiscard]] std::size_t openOrders() const { return m_open; }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -52,11 +52,24 @@
   done
 }
 
+# must WHAT COMMAND...: a deployment that does not come up breaks whatever is tried on it
+must() {
+  local what=$1
+  shift
+  "$@" || { echo "$what did not come up" | tee -a "$run_dir/broken" >&2; return 1; }
+}
+
 is_ready() { curl -sf -m 1 "http://$1/readyz"; }
 
 # Addresses by number.
 dispatch_http() { echo "127.0.0.1:$((base_port + 100 + $1))"; }
 dispatch_listen() { echo "127.0.0.1:$((base_port + 200 + $1))"; }
+relay_port() { echo $((base_port + 400 + 10 * $1)); } # of the relay before dispatcher $1
+target_relay_port() { echo $((base_port + 4001)); } # first port of the relay before comptoir
+
+# relay_control PORT silence|block|one-way|clear
+relay_control() { curl -sf -m 2 "http://127.0.0.1:$(($1 - 1))/control?action=$2"; }
+
 front_http() { echo "127.0.0.1:$((base_port + 300 + $1))"; }
 
 # Data centres of the deployment, by number.
@@ -65,12 +78,22 @@
 
 start_platform() {
   start platform "$build/fake-platform" --listen "$store"
-  wait_until 5 curl -sf -m 1 "http://$store/vms"
+  must platform wait_until 5 curl -sf -m 1 "http://$store/vms"
+}
+
+# start_relay NAME LISTEN-PORT TARGET-PORT COUNT
+start_relay() {
+  start "$1" "$build/relay" --listen-port "$2" --target-port "$3" --count "$4"
+  must "$1" wait_until 5 relay_control "$2" clear
 }
 
 start_dispatch() {
   local number=$1
   shift
+  if [ "${LIMPET_RELAY_DISPATCH:-}" = "$number" ] && [ -z "${pids[relay$number]:-}" ]; then
+    start_relay "relay$number" "$(relay_port "$number")" $((base_port + 200 + number)) 1
+  fi
+  if [ "${LIMPET_RELAY_DISPATCH:-}" = "$number" ]; then set -- --advertise "127.0.0.1:$(relay_port "$number")" "$@"; fi
   start "dispatch$number" "$build/limpet-dispatch" --node "dispatch-$number" --data-centre "$(data_centre "$number")" \
     --listen "$(dispatch_listen "$number")" --http "$(dispatch_http "$number")" --store "$store" "$@"
 }
@@ -96,7 +119,7 @@
   shift 3
   start "target-$front" "$build/fake-target" --front "$front" --base-port "$(target_base "$front")" \
     --instances "$instances" --replicas "$replicas" --journal "$run_dir/$front.journal" "$@"
-  wait_until 5 curl -sf -m 1 "http://127.0.0.1:$(($(target_base "$front") - 1))/counters"
+  must "target $front" wait_until 5 curl -sf -m 1 "http://127.0.0.1:$(($(target_base "$front") - 1))/counters"
 }
 
 # target_control FRONT SEARCHER ACTION [VALUE]
@@ -110,6 +133,7 @@
 front_section() {
   local front=$1 kind=$2 instances=$3 replicas=$4 extra=$5 base
   base=$(target_base "$front")
+  if [ -n "${LIMPET_RELAY_TARGETS:-}" ] && [ "$front" = comptoir ]; then base=$(target_relay_port); fi
   local letters=abcdefgh
   local instance replica number
   for ((instance = 0; instance < instances; ++instance)); do
@@ -132,13 +156,14 @@
   start_platform
   start_target comptoir "${COMPTOIR_INSTANCES:-20}" 2 --slots 2 --connections 25 --connect-ms 6 ${COMPTOIR_FLAGS:-}
   start_target commandes 4 1 --slots 4 --connections 100 --connect-ms 1 --service-us 3000 ${COMMANDES_FLAGS:-}
+  if [ -n "${LIMPET_RELAY_TARGETS:-}" ]; then start_relay relay-targets "$(target_relay_port)" "$(target_base comptoir)" $((${COMPTOIR_INSTANCES:-20} * 2)); fi
   apply_data_centres
   front_section comptoir fan_out "${COMPTOIR_INSTANCES:-20}" 2 "${COMPTOIR_MEMBERS:-{\"tenant\":\"tranchet\",\"deadline_ms\":250,\"priority\":0,\"slots\":2,\"connections\":25,\"cold_allowance\":1\}}" | ctl apply front.comptoir - >/dev/null
   front_section commandes single 4 1 '{"tenant":"tranchet","deadline_ms":1000,"priority":0,"slots":4,"connections":100,"cold_allowance":1}' | ctl apply front.commandes - >/dev/null
   for ((number = 0; number < dispatchers; ++number)); do start_dispatch "$number"; done
   for ((number = 0; number < fronts; ++number)); do start_front "$number"; done
-  for ((number = 0; number < dispatchers; ++number)); do wait_until 15 is_ready "$(dispatch_http "$number")"; done
-  for ((number = 0; number < fronts; ++number)); do wait_until 15 is_ready "$(front_http "$number")"; done
+  for ((number = 0; number < dispatchers; ++number)); do must "dispatch$number" wait_until 15 is_ready "$(dispatch_http "$number")"; done
+  for ((number = 0; number < fronts; ++number)); do must "front$number" wait_until 15 is_ready "$(front_http "$number")"; done
 }
 
 # Makes a UUIDv7, as callers do for orders.
--- /dev/null
+++ b/src/transport/metrics.cc
@@ -0,0 +1,74 @@
+#include "limpetpier/transport/metrics.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace limpetpier {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+std::string labelText(const metric_labels& labels, const std::string& more = {})
+{
+    std::string text = "{tenant=\"" + labels.tenant + "\",front=\"" + labels.front + "\"";
+    if (!labels.outcome.empty())
+        text += ",outcome=\"" + labels.outcome + "\"";
+    return text + more + "}";
+}
+
+} // namespace
+
+void metrics_registry::observe(const std::string& name, const metric_labels& labels, double seconds)
+{
+    const auto bucket = static_cast<std::size_t>(std::lower_bound(latencyBuckets.begin(), latencyBuckets.end(), seconds) - latencyBuckets.begin());
+    const std::lock_guard lock(m_mutex);
+    auto& target = m_histograms[name][labels];
+    target.totals(seconds);
+    ++target.buckets[bucket];
+}
+
+void metrics_registry::add(const std::string& name, const metric_labels& labels, double amount)
+{
+    const std::lock_guard lock(m_mutex);
+    m_counters[name][labels] += amount;
+}
+
+void metrics_registry::set(const std::string& name, double value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_gauges[name] = value;
+}
+
+std::string metrics_registry::render() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::ostringstream out;
+    for (const auto& [name, value] : m_gauges)
+        out << "# TYPE " << name << " gauge\n"
+            << name << " " << value << "\n";
+    for (const auto& [name, lines] : m_counters) {
+        out << "# TYPE " << name << " counter\n";
+        for (const auto& [labels, value] : lines)
+            out << name << labelText(labels) << " " << value << "\n";
+    }
+    for (const auto& [name, lines] : m_histograms) {
+        out << "# TYPE " << name << " histogram\n";
+        for (const auto& [labels, values] : lines) {
+            std::uint64_t cumulative = 0;
+            for (std::size_t bucket = 0; bucket < latencyBuckets.size(); ++bucket) {
+                cumulative += values.buckets[bucket];
+                std::ostringstream bound;
+                bound << ",le=\"" << latencyBuckets[bucket] << "\"";
+                out << name << "_bucket" << labelText(labels, bound.str()) << " " << cumulative << "\n";
+            }
+            out << name << "_bucket" << labelText(labels, ",le=\"+Inf\"") << " " << acc::count(values.totals) << "\n"
+                << name << "_sum" << labelText(labels) << " " << acc::sum(values.totals) << "\n"
+                << name << "_count" << labelText(labels) << " " << acc::count(values.totals) << "\n"
+                << name << "_max" << labelText(labels) << " " << acc::max(values.totals) << "\n";
+        }
+    }
+    return out.str();
+}
+
+} // namespace limpetpier
--- a/src/transport/node_link.cc
+++ b/src/transport/node_link.cc
@@ -1,6 +1,7 @@
 #include "limpetpier/transport/node_link.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <deque>
 #include <optional>
@@ -354,6 +355,7 @@
         const auto datagram = m_codec.sealDatagram(message);
         const std::lock_guard lock(m_sendMutex);
         m_socket.send_to(asio::buffer(datagram), peer, 0, ignored);
+        bytesSent += datagram.size();
     }
 
     void close()
@@ -366,6 +368,8 @@
 
     asio::any_io_executor executor() { return m_socket.get_executor(); }
 
+    std::atomic<std::uint64_t> bytesSent { 0 };
+
 private:
     void receive(std::string_view datagram, const udp::endpoint& sender)
     {
@@ -393,6 +397,7 @@
 }
 
 probe_port::~probe_port() { m_implementation->close(); }
+std::uint64_t probe_port::bytesSent() const { return m_implementation->bytesSent; }
 void probe_port::send(const probe_message& message, const udp::endpoint& peer) { m_implementation->send(message, peer); }
 
 } // namespace limpetpier
--- /dev/null
+++ b/test/standins/relay.cc
@@ -0,0 +1,146 @@
+// Stand-in for the network between two ends: forwards TCP and UDP for a run of ports and can lose track of them.
+//
+// The control port (one before the first) takes GET /control?action=ACTION with
+//   silence   connections that are open now stay open and carry nothing any more; new ones work
+//   block     nothing passes in either direction, also on new connections
+//   one-way   datagrams and bytes pass towards the target only
+//   clear     everything passes again (silenced connections stay silent)
+
+#include <boost/asio.hpp>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "limpetpier/transport/http.h"
+#include "limpetpier/transport/settings.h"
+
+using namespace limpetpier;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+struct relay_state {
+    std::uint64_t generation = 0; // connections of earlier generations are silent
+    bool passesForward = true;
+    bool passesBack = true;
+};
+
+constexpr std::size_t bufferBytes = 16U << 10;
+
+// Copies one direction of a connection; a silenced direction reads on and drops.
+awaitable<void> copy(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, const relay_state& state, std::uint64_t generation, bool forward)
+{
+    std::vector<char> buffer(bufferBytes);
+    error_code error;
+    for (;;) {
+        const auto count = co_await from->async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+        const bool passes = generation == state.generation && (forward ? state.passesForward : state.passesBack);
+        if (error && !passes)
+            co_return; // the other end hears nothing of the close
+        if (error)
+            break;
+        if (passes)
+            co_await asio::async_write(*to, asio::buffer(buffer.data(), count), asio::redirect_error(asio::use_awaitable, error));
+    }
+    to->close(error);
+    from->close(error);
+}
+
+awaitable<void> relayTcp(tcp::endpoint listen, tcp::endpoint target, const relay_state& state)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    tcp::acceptor acceptor(executor, listen);
+    for (;;) {
+        auto client = std::make_shared<tcp::socket>(co_await acceptor.async_accept(asio::use_awaitable));
+        auto server = std::make_shared<tcp::socket>(executor);
+        error_code error;
+        co_await server->async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            continue;
+        client->set_option(tcp::no_delay(true), error);
+        server->set_option(tcp::no_delay(true), error);
+        asio::co_spawn(executor, copy(client, server, state, state.generation, true), asio::detached);
+        asio::co_spawn(executor, copy(server, client, state, state.generation, false), asio::detached);
+    }
+}
+
+awaitable<void> relayBack(std::shared_ptr<udp::socket> upstream, udp::socket& listening, udp::endpoint client, const relay_state& state)
+{
+    std::vector<char> buffer(bufferBytes);
+    for (;;) {
+        error_code error;
+        const auto count = co_await upstream->async_receive(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+        if (!error && state.passesBack)
+            listening.send_to(asio::buffer(buffer.data(), count), client, 0, error);
+    }
+}
+
+awaitable<void> relayUdp(udp::endpoint listen, udp::endpoint target, const relay_state& state)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    udp::socket socket(executor, listen);
+    std::map<udp::endpoint, std::shared_ptr<udp::socket>> upstreams;
+    std::vector<char> buffer(bufferBytes);
+    for (;;) {
+        udp::endpoint client;
+        error_code error;
+        const auto count = co_await socket.async_receive_from(asio::buffer(buffer), client, asio::redirect_error(asio::use_awaitable, error));
+        if (error || !state.passesForward)
+            continue;
+        auto& upstream = upstreams[client];
+        if (!upstream) {
+            upstream = std::make_shared<udp::socket>(executor, udp::endpoint(udp::v4(), 0));
+            upstream->connect(target, error);
+            asio::co_spawn(executor, relayBack(upstream, socket, client, state), asio::detached);
+        }
+        upstream->send(asio::buffer(buffer.data(), count), 0, error);
+    }
+}
+
+void switchFault(relay_state& state, const std::string& target)
+{
+    if (target.ends_with("silence"))
+        ++state.generation;
+    state.passesForward = !target.ends_with("block");
+    state.passesBack = !target.ends_with("block") && !target.ends_with("one-way");
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const std::vector<setting> table {
+            { "listen-port", "", "First port to listen on; the control port is the one before", setting_kind::number, true, 1025, 65000, false },
+            { "target-port", "", "First port to forward to", setting_kind::number, true, 1025, 65000, false },
+            { "count", "1", "Ports", setting_kind::number, true, 1, 1000, false },
+        };
+        const auto settings = program_settings::read("relay", "Stand-in for the network.", table, argc, argv);
+        const auto loopback = asio::ip::make_address("127.0.0.1");
+        const auto listenPort = static_cast<unsigned short>(settings.number("listen-port"));
+        const auto targetPort = static_cast<unsigned short>(settings.number("target-port"));
+        asio::io_context io(1);
+        relay_state state;
+        for (std::int64_t offset = 0; offset < settings.number("count"); ++offset) {
+            const auto from = static_cast<unsigned short>(listenPort + offset);
+            const auto to = static_cast<unsigned short>(targetPort + offset);
+            asio::co_spawn(io, relayTcp({ loopback, from }, { loopback, to }, state), asio::detached);
+            asio::co_spawn(io, relayUdp({ loopback, from }, { loopback, to }, state), asio::detached);
+        }
+        http_server control(io.get_executor(), { loopback, static_cast<unsigned short>(listenPort - 1) }, {}, [&](http_request request) -> awaitable<http_reply> {
+            switchFault(state, request.target);
+            co_return http_reply {};
+        });
+        asio::signal_set signals(io, SIGTERM, SIGINT);
+        signals.async_wait([&](const error_code&, int) { io.stop(); });
+        io.run();
+        std::_Exit(EXIT_SUCCESS);
+    } catch (const std::exception& error) {
+        std::cerr << "relay: " << error.what() << "\n";
+        return 2;
+    }
+}
