--- a/include/limpetpier/coordination/key_holding.h
+++ b/include/limpetpier/coordination/key_holding.h
@@ -15,6 +15,7 @@
 //
 // Every change of epoch moves some keys here from other holders. Such a key is only usable once its earlier holder has
 // handed over its records (then the earlier holder's own floor counts) or is fenced (then the time of the fence counts).
+// Keys move only from nodes that leave and to nodes that join, so a change concerns few pairs of nodes.
 //
 //     if (const auto floor = holding.floorFor(key)) table.begin(key, fingerprint, *floor, now);
 class key_holding {
@@ -36,6 +37,9 @@
     // The floor to pass on in the hand-over for an epoch; nothing while changes before that epoch are unsettled.
     [[nodiscard]] std::optional<wall_time> floorToPassOn(epoch_number epoch) const;
 
+    // Nodes that gain keys from this one in the change to an epoch.
+    [[nodiscard]] std::vector<node_id> receivers(epoch_number epoch) const;
+
     // Earlier holders that neither handed over nor are fenced.
     [[nodiscard]] std::set<node_id> pending() const;
 
@@ -46,13 +50,16 @@
     struct transition {
         epoch_number to;
         std::vector<epoch_member> before;
+        std::vector<epoch_member> after;
         std::map<node_id, std::optional<wall_time>> floors; // by earlier holder
         wall_time adoptedAt;
+        bool settled = false; // every floor is known; nothing is left to check
     };
 
     [[nodiscard]] bool containsSelf(const std::vector<epoch_member>& members) const;
     [[nodiscard]] std::optional<epoch_number> firstOwnEpoch(const assignment_epoch& epoch) const;
-    void addTransition(epoch_number to, const std::vector<epoch_member>& before, wall_time now);
+    void noteSettled();
+    void addTransition(epoch_number to, const std::vector<epoch_member>& before, const std::vector<epoch_member>& after, wall_time now);
 
     node_id m_self;
     incarnation_number m_incarnation;
--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -111,16 +111,21 @@
     }
 };
 
-// Asks a dispatcher for what it knows of its searchers.
+// Asks a dispatcher for what it knows of its searchers, and to be told of every change from now on.
 struct digest_request {
+    std::uint64_t known = 0; // fingerprint of the last digest; the same one is answered without its contents
+
     template <typename Archive>
-    void serialize(Archive&)
+    void serialize(Archive& archive)
     {
+        archive(known);
     }
 };
 
 struct digest_reply {
     node_id from;
+    std::uint64_t fingerprint = 0; // of everything below
+    bool unchanged = false; // the receiver knows the contents; they are left out
     epoch_number epoch;
     revision_number revision;
     bool taking = false; // false while the dispatcher is stopping or its right is stale
@@ -129,7 +134,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(from, epoch, revision, taking, searchers);
+        archive(from, fingerprint, unchanged, epoch, revision, taking, searchers);
     }
 };
 
--- a/include/limpetpier/state/snapshot.h
+++ b/include/limpetpier/state/snapshot.h
@@ -41,13 +41,12 @@
 struct searcher_report {
     searcher_id searcher;
     bool serving = false;
-    std::uint32_t queued = 0;
     std::vector<held_snapshot> held;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(searcher, serving, queued, held);
+        archive(searcher, serving, held);
     }
 };
 
--- a/programs/dispatch/cluster_agent.cc
+++ b/programs/dispatch/cluster_agent.cc
@@ -129,6 +129,12 @@
     return m_keys.joined();
 }
 
+std::vector<node_id> cluster_agent::keyReceivers(epoch_number epoch) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_keys.receivers(epoch);
+}
+
 std::size_t cluster_agent::ownedCount() const
 {
     const std::lock_guard lock(m_mutex);
--- a/programs/dispatch/cluster_agent.h
+++ b/programs/dispatch/cluster_agent.h
@@ -72,6 +72,7 @@
     [[nodiscard]] std::optional<wall_time> floorFor(const idempotency_key& key) const;
     [[nodiscard]] std::optional<wall_time> floorToPassOn(epoch_number epoch) const;
     [[nodiscard]] std::optional<epoch_number> joinedEpoch() const;
+    [[nodiscard]] std::vector<node_id> keyReceivers(epoch_number epoch) const;
     [[nodiscard]] std::size_t ownedCount() const;
     [[nodiscard]] std::size_t pendingCount() const;
 
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -111,7 +111,7 @@
     void handle(const node_link_handle&, const digest_reply&) { }
     void handle(const node_link_handle& link, const search_batch& message) { m_searches.handleBatch(link, message); }
     void handle(const node_link_handle& link, const cancel_message& message) { m_searches.handleCancel(link, message); }
-    void handle(const node_link_handle& link, const digest_request&) { link->send(m_searches.digest()); }
+    void handle(const node_link_handle& link, const digest_request& message) { m_searches.subscribe(link, message.known); }
     void handle(const node_link_handle& link, const state_request&) { link->send(state_reply { *m_agent.epoch(), m_agent.documentText() }); }
     void handle(const node_link_handle&, const state_reply& message) { m_agent.offerState(message); }
     void handle(const node_link_handle& link, const order_request& message) { m_orders.handleOrder(link, message); }
@@ -126,6 +126,7 @@
         for (;;) {
             m_orders.reconcile();
             noteSettled();
+            m_searches.publishDigest();
             timer.expires_after(maintenanceInterval);
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -204,7 +205,7 @@
                 { "id", report.searcher.value() },
                 { "serving", report.serving },
                 { "may_send", m_agent.maySend(report.searcher, monotonic_clock::now()) },
-                { "queued", report.queued },
+                { "open_jobs", runtime->openJobs() },
                 { "ramp", rampText(runtime->rampState()) },
             });
         }
--- a/programs/dispatch/order_service.cc
+++ b/programs/dispatch/order_service.cc
@@ -233,8 +233,10 @@
     epoch_number handover;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_handoversOpen.empty() && !startNextHandover(*epoch))
-            return;
+        while (m_handoversOpen.empty()) {
+            if (!startNextHandover(*epoch))
+                return;
+        }
         if (now - m_handoverSentAt < handoverRepeat)
             return;
         m_handoverSentAt = now;
@@ -267,9 +269,9 @@
         return false;
     m_handedOverFor = next;
     m_handoverSentAt = {};
-    for (const auto& member : epoch.members) {
-        if (member.id != m_agent.self())
-            m_handoversOpen[member.id] = next;
+    for (const auto& receiver : m_agent.keyReceivers(next)) {
+        if (epoch.contains(receiver))
+            m_handoversOpen[receiver] = next;
     }
     return true;
 }
--- a/programs/dispatch/search_service.cc
+++ b/programs/dispatch/search_service.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include "limpetpier/coordination/ownership.h"
 #include "limpetpier/transport/events.h"
 
@@ -15,6 +18,24 @@
     return now + microseconds { budget.remainingUs } - onTheWay;
 }
 
+namespace {
+
+// Hash of what a digest says; 0 is never used, so that it can stand for "nothing known".
+std::uint64_t fingerprintOf(const digest_reply& digest)
+{
+    std::string text = std::to_string(digest.epoch.value()) + "/" + std::to_string(digest.revision.value()) + (digest.taking ? "+" : "-");
+    for (const auto& report : digest.searchers) {
+        text.append(report.searcher.value()).append(report.serving ? "+" : "-");
+        for (const auto& held : report.held) {
+            for (const auto number : { held.snapshot.indexVersion, held.snapshot.shardMap, held.range.first, held.range.last })
+                text.append(std::to_string(number)).append(",");
+        }
+    }
+    return XXH3_64bits(text.data(), text.size()) | 1;
+}
+
+} // namespace
+
 search_service::search_service(asio::any_io_executor executor, cluster_agent& agent, metrics_registry& metrics)
     : m_executor(std::move(executor))
     , m_agent(agent)
@@ -94,6 +115,7 @@
     std::vector<job_place> places;
     {
         const std::lock_guard lock(m_mutex);
+        m_subscribers.erase(link);
         for (const auto& [key, place] : m_jobs) {
             if (key.link == link.get())
                 places.push_back(place);
@@ -209,9 +231,38 @@
     digest.taking = m_agent.rightIsFresh(monotonic_clock::now());
     for (const auto& runtime : runtimes())
         digest.searchers.push_back(runtime->report());
+    digest.fingerprint = fingerprintOf(digest);
     return digest;
 }
 
+void search_service::subscribe(const node_link_handle& link, std::uint64_t known)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_subscribers.insert(link);
+    }
+    auto answer = digest();
+    if (answer.fingerprint == known) {
+        answer.unchanged = true;
+        answer.searchers.clear();
+    }
+    link->send(answer);
+}
+
+void search_service::publishDigest()
+{
+    const auto news = digest();
+    std::set<node_link_handle> receivers;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_publishedFingerprint, news.fingerprint) == news.fingerprint)
+            return;
+        receivers = m_subscribers;
+    }
+    for (const auto& link : receivers)
+        link->send(news);
+}
+
 std::vector<std::shared_ptr<searcher_runtime>> search_service::runtimes() const
 {
     const std::lock_guard lock(m_mutex);
--- a/programs/dispatch/search_service.h
+++ b/programs/dispatch/search_service.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <vector>
 
 #include "cluster_agent.h"
@@ -38,7 +39,13 @@
     [[nodiscard]] bool isSettled() const;
 
     [[nodiscard]] std::size_t openJobs() const;
-    [[nodiscard]] digest_reply digest() const;
+
+    // Answers a front with the digest, or with its fingerprint if the front knows it, and keeps it informed.
+    void subscribe(const node_link_handle& link, std::uint64_t known);
+
+    // Tells the subscribed fronts if the digest has changed.
+    void publishDigest();
+
     [[nodiscard]] std::vector<std::shared_ptr<searcher_runtime>> runtimes() const;
 
     gate_token nextToken() { return gate_token { ++m_nextToken }; }
@@ -58,6 +65,7 @@
     };
 
     void submit(const node_link_handle& link, const search_batch& batch, const batch_item& item, monotonic_time deadline);
+    [[nodiscard]] digest_reply digest() const;
     [[nodiscard]] std::string tenantOf(const front_id& front) const;
     reason whyNotSend(const searcher_spec& searcher) const;
 
@@ -72,6 +80,8 @@
     std::map<front_id, std::shared_ptr<front_record>> m_records;
     std::map<job_key, job_place> m_jobs;
     std::map<searcher_id, bool> m_takesWork;
+    std::set<node_link_handle> m_subscribers;
+    std::uint64_t m_publishedFingerprint = 0;
 };
 
 // Remaining time of a request that arrives now; the wall time bounds what waited in a paused process.
--- a/programs/dispatch/searcher_runtime.cc
+++ b/programs/dispatch/searcher_runtime.cc
@@ -463,7 +463,6 @@
     }
     const std::lock_guard lock(m_reportMutex);
     m_report.serving = m_reachable && !m_draining && !m_stopped && m_whyNotSend() == reason::none;
-    m_report.queued = static_cast<std::uint32_t>(m_gate.queued() + m_jobs.size());
     m_report.held = m_held;
     m_publishedState = state;
 }
--- a/programs/front/cluster_view.cc
+++ b/programs/front/cluster_view.cc
@@ -13,12 +13,12 @@
 
 namespace {
 
-constexpr milliseconds pollInterval { 150 };
+constexpr milliseconds pollInterval { 1000 };
 constexpr milliseconds storeTimeout { 400 };
 constexpr milliseconds bootstrapRetry { 200 };
 
 // A digest older than this says nothing about its node any more.
-constexpr milliseconds digestLifetime { 2000 };
+constexpr milliseconds digestLifetime { 3500 };
 
 } // namespace
 
@@ -94,8 +94,16 @@
 
 void cluster_view::refresh()
 {
-    for (const auto& member : epoch().members)
-        m_links.send(member.address, digest_request {});
+    std::vector<std::pair<std::string, std::uint64_t>> requests;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& member : m_epoch.members) {
+            const auto known = m_digests.find(member.id);
+            requests.emplace_back(member.address, known == m_digests.end() ? 0 : known->second.digest.fingerprint);
+        }
+    }
+    for (const auto& [address, known] : requests)
+        m_links.send(address, digest_request { known });
 }
 
 void cluster_view::handleDigest(const node_link_handle& link, const digest_reply& digest)
@@ -103,7 +111,11 @@
     bool knowsMore = false;
     {
         const std::lock_guard lock(m_mutex);
-        m_digests[digest.from] = { digest, monotonic_clock::now() };
+        auto& entry = m_digests[digest.from];
+        entry.receivedAt = monotonic_clock::now();
+        if (digest.unchanged && entry.digest.fingerprint == digest.fingerprint)
+            return;
+        entry.digest = digest;
         knowsMore = digest.epoch > m_epoch.number || digest.revision > m_document.revision;
     }
     if (knowsMore)
@@ -175,7 +187,6 @@
         const auto report = std::find_if(known.begin(), known.end(), [&](const searcher_report& item) { return item.searcher == searcher.id; });
         if (report == known.end())
             continue;
-        route->queued[searcher.id] = report->queued;
         reports.push_back(*report);
         reports.back().serving = report->serving && m_document.takesNewWork(searcher);
     }
--- a/programs/front/cluster_view.h
+++ b/programs/front/cluster_view.h
@@ -21,7 +21,6 @@
     front_spec spec;
     std::optional<pinned_snapshot> snapshot;
     std::map<searcher_id, std::string> ownerAddresses;
-    std::map<searcher_id, std::uint32_t> queued;
 };
 
 using front_route_handle = std::shared_ptr<const front_route>;
--- a/programs/front/search_handler.cc
+++ b/programs/front/search_handler.cc
@@ -27,8 +27,9 @@
 
 } // namespace
 
-search_handler::front_policy::front_policy(double hedgeBudget)
-    : hedges(hedgeBudget)
+search_handler::front_policy::front_policy(double budget)
+    : hedgeBudget(budget)
+    , hedges(budget)
     , retries(retryShare, retryBurst)
 {
 }
@@ -274,7 +275,7 @@
         if (!route || !route->snapshot || route->snapshot->snapshot == lost)
             break;
         const query_number number { ++m_nextQuery };
-        const auto query = std::make_shared<running_query>(executor, number, route, request, orderReplicas(*route->snapshot, *route, *policy), policy, m_links, deadline);
+        const auto query = std::make_shared<running_query>(executor, number, route, request, orderReplicas(*route->snapshot, *policy), policy, m_links, deadline);
         {
             const std::lock_guard lock(m_mutex);
             m_queries[number] = query;
@@ -313,13 +314,12 @@
 }
 
 // Puts the replica with the least work first in each piece.
-pinned_snapshot search_handler::orderReplicas(pinned_snapshot pinned, const front_route& route, front_policy& policy)
+pinned_snapshot search_handler::orderReplicas(pinned_snapshot pinned, front_policy& policy)
 {
     const std::lock_guard lock(policy.mutex);
     const auto loadOf = [&](const searcher_id& searcher) {
-        const auto queued = route.queued.find(searcher);
         const auto outstanding = policy.outstanding.find(searcher);
-        return (queued == route.queued.end() ? 0 : queued->second) + 2 * (outstanding == policy.outstanding.end() ? 0 : outstanding->second);
+        return outstanding == policy.outstanding.end() ? 0 : outstanding->second;
     };
     for (auto& piece : pinned.pieces) {
         std::shuffle(piece.replicas.begin(), piece.replicas.end(), random());
@@ -332,7 +332,7 @@
 {
     const std::lock_guard lock(m_mutex);
     auto& policy = m_policies[front.id];
-    if (!policy)
+    if (!policy || policy->hedgeBudget != front.hedgeBudget)
         policy = std::make_shared<front_policy>(front.hedgeBudget);
     return policy;
 }
--- a/programs/front/search_handler.h
+++ b/programs/front/search_handler.h
@@ -42,8 +42,9 @@
 
     // What the queries of one front share.
     struct front_policy {
-        explicit front_policy(double hedgeBudget);
+        explicit front_policy(double budget);
 
+        const double hedgeBudget; // a change of it in the document starts a new policy
         std::mutex mutex;
         hedge_policy hedges;
         ratio_budget retries;
@@ -53,7 +54,7 @@
 
     std::shared_ptr<front_policy> policyOf(const front_spec& front);
     awaitable<search_answer> runQuery(front_route_handle route, search_request request, std::shared_ptr<front_policy> policy, monotonic_time startedAt);
-    pinned_snapshot orderReplicas(pinned_snapshot pinned, const front_route& route, front_policy& policy);
+    pinned_snapshot orderReplicas(pinned_snapshot pinned, front_policy& policy);
     [[nodiscard]] query_handle find(query_number query) const;
     [[nodiscard]] std::vector<query_handle> queries() const;
 
--- a/src/coordination/key_holding.cc
+++ b/src/coordination/key_holding.cc
@@ -7,6 +7,15 @@
 
 namespace limpetpier {
 
+namespace {
+
+bool containsId(const std::vector<epoch_member>& members, const node_id& id)
+{
+    return std::any_of(members.begin(), members.end(), [&](const epoch_member& member) { return member.id == id; });
+}
+
+} // namespace
+
 key_holding::key_holding(node_id self, incarnation_number incarnation, wall_time startedAt)
     : m_self(std::move(self))
     , m_incarnation(incarnation)
@@ -21,11 +30,13 @@
     if (!m_joined)
         return;
     // Oldest first; a node that missed epochs learns them from the history.
-    for (auto past = epoch.history.rbegin(); past != epoch.history.rend(); ++past) {
-        const auto to = past->number.next();
+    for (std::size_t back = epoch.history.size(); back > 0; --back) {
+        const auto& past = epoch.history[back - 1];
+        const auto& after = back == 1 ? epoch.members : epoch.history[back - 2].members;
+        const auto to = past.number.next();
         const bool isKnown = !m_transitions.empty() && to <= m_transitions.back().to;
         if (to >= *m_joined && !isKnown)
-            addTransition(to, past->members, now);
+            addTransition(to, past.members, after, now);
     }
     while (!m_transitions.empty() && m_transitions.front().adoptedAt < now - 2 * idempotencyRetention)
         m_transitions.pop_front();
@@ -47,16 +58,24 @@
     return std::nullopt;
 }
 
-void key_holding::addTransition(epoch_number to, const std::vector<epoch_member>& before, wall_time now)
+void key_holding::addTransition(epoch_number to, const std::vector<epoch_member>& before, const std::vector<epoch_member>& after, wall_time now)
 {
-    transition change { to, before, {}, now };
+    transition change { to, before, after, {}, now };
+    const bool selfJoined = !containsId(before, m_self);
     for (const auto& member : before) {
-        if (member.id != m_self)
-            change.floors[member.id] = std::nullopt;
-        else if (member.incarnation != m_incarnation)
+        if (member.id == m_self && member.incarnation != m_incarnation)
             change.floors[member.id] = m_startedAt; // an earlier process of this node: its records are lost
+        if (member.id != m_self && (selfJoined || !containsId(after, member.id)))
+            change.floors[member.id] = std::nullopt;
     }
     m_transitions.push_back(std::move(change));
+    noteSettled();
+}
+
+void key_holding::noteSettled()
+{
+    for (auto& change : m_transitions)
+        change.settled = change.settled || std::all_of(change.floors.begin(), change.floors.end(), [](const auto& entry) { return entry.second.has_value(); });
 }
 
 void key_holding::handedOver(const node_id& from, epoch_number epoch, wall_time floor)
@@ -66,17 +85,21 @@
         if (change.to <= epoch && entry != change.floors.end() && !entry->second)
             entry->second = floor;
     }
+    noteSettled();
 }
 
 void key_holding::checkFences(const owner_fence& fence, monotonic_time now, wall_time wallTime)
 {
     for (auto& change : m_transitions) {
+        if (change.settled)
+            continue;
         for (auto& [holder, floor] : change.floors) {
             // What the holder still runs was begun before its right lapsed, so its key is older than the floor.
             if (!floor && fence.fenced(holder, milliseconds { 0 }, now))
                 floor = wallTime;
         }
     }
+    noteSettled();
 }
 
 std::optional<wall_time> key_holding::floorFor(const idempotency_key& key) const
@@ -111,10 +134,26 @@
     return result;
 }
 
+std::vector<node_id> key_holding::receivers(epoch_number epoch) const
+{
+    std::vector<node_id> result;
+    const auto change = std::find_if(m_transitions.begin(), m_transitions.end(), [&](const transition& item) { return item.to == epoch; });
+    if (change == m_transitions.end())
+        return result;
+    const bool selfLeft = !containsId(change->after, m_self);
+    for (const auto& member : change->after) {
+        if (member.id != m_self && (selfLeft || !containsId(change->before, member.id)))
+            result.push_back(member.id);
+    }
+    return result;
+}
+
 std::set<node_id> key_holding::pending() const
 {
     std::set<node_id> result;
     for (const auto& change : m_transitions) {
+        if (change.settled)
+            continue;
         for (const auto& [holder, floor] : change.floors) {
             if (!floor)
                 result.insert(holder);
--- /dev/null
+++ b/test/codec_test.cc
@@ -0,0 +1,56 @@
+#include "limpetpier/protocol/codec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "limpetpier/state/errors.h"
+
+using namespace limpetpier;
+
+TEST_CASE("Only nodes of the deployment are understood")
+{
+    const node_codec codec("tranchet", "secret");
+    const auto frame = codec.sealFrame(slow_notice { query_number { 7 }, { 3, 1 } });
+    const auto sealed = std::string_view(frame).substr(frameLengthBytes);
+
+    SECTION("a sealed message reads back")
+    {
+        REQUIRE(node_codec::parseLength(frame) == sealed.size());
+        REQUIRE(std::get<slow_notice>(codec.openFrame(sealed)).ref == attempt_ref { 3, 1 });
+    }
+
+    SECTION("another secret is refused")
+    {
+        REQUIRE_THROWS_AS(node_codec("tranchet", "other").openFrame(sealed), frame_error);
+    }
+
+    SECTION("another deployment is refused")
+    {
+        REQUIRE_THROWS_AS(node_codec("hrafnsey", "secret").openFrame(sealed), frame_error);
+    }
+
+    SECTION("a frame beyond the bound is refused before it is read")
+    {
+        REQUIRE_THROWS_AS(node_codec::parseLength(std::string("\xff\xff\xff\xff")), frame_error);
+    }
+
+    SECTION("a changed byte anywhere is refused")
+    {
+        const bool holds = rc::check("tampered frames do not open", [&] {
+            auto tampered = std::string(sealed);
+            const auto position = *rc::gen::inRange<std::size_t>(0, tampered.size());
+            tampered[position] = static_cast<char>(tampered[position] ^ *rc::gen::inRange(1, 256));
+            RC_ASSERT_THROWS_AS(codec.openFrame(tampered), frame_error);
+        });
+        REQUIRE(holds);
+    }
+}
+
+TEST_CASE("A probe fits into one datagram with all the suspicions it may carry")
+{
+    probe_message probe;
+    probe.from = node_id { std::string(40, 'n') };
+    for (std::size_t number = 0; number < maxSuspicionsPerProbe; ++number)
+        probe.suspicions.push_back({ node_id { std::string(40, 's') }, incarnation_number { 1 }, node_id { std::string(40, 'w') }, 1 });
+    REQUIRE(node_codec("tranchet", "secret").sealDatagram(probe).size() <= maxDatagramBytes);
+}
--- a/test/idempotency_table_test.cc
+++ b/test/idempotency_table_test.cc
@@ -193,6 +193,27 @@
         REQUIRE(holding.floorFor(key) == noon);
     }
 
+    SECTION("a member gains keys only from nodes that leave, and gives keys only to nodes that join")
+    {
+        key_holding holding(node_id { "a" }, incarnation_number { 1 }, noon);
+        holding.adopt(both, noon);
+        REQUIRE(holding.pending().empty());
+        REQUIRE(holding.receivers(both.number) == std::vector<node_id> { node_id { "b" } });
+        const auto alone = *withoutMember(both, node_id { "b" });
+        holding.adopt(alone, noon);
+        REQUIRE(holding.pending() == std::set<node_id> { node_id { "b" } });
+        REQUIRE(holding.receivers(alone.number).empty());
+    }
+
+    SECTION("a node that leaves gives keys to all that stay")
+    {
+        key_holding holding(node_id { "b" }, incarnation_number { 1 }, noon);
+        holding.adopt(both, noon);
+        const auto alone = *withoutMember(both, node_id { "b" });
+        holding.adopt(alone, noon);
+        REQUIRE(holding.receivers(alone.number) == std::vector<node_id> { node_id { "a" } });
+    }
+
     SECTION("a node passes on a floor only when earlier changes are settled")
     {
         key_holding holding(node_id { "b" }, incarnation_number { 1 }, noon);
--- a/test/snapshot_selection_test.cc
+++ b/test/snapshot_selection_test.cc
@@ -13,7 +13,7 @@
 
 searcher_report report(const std::string& name, const std::vector<held_snapshot>& held, bool serving = true)
 {
-    return { searcher_id { name }, serving, 0, held };
+    return { searcher_id { name }, serving, held };
 }
 
 } // namespace
--- /dev/null
+++ b/test/suspicion_table_test.cc
@@ -0,0 +1,87 @@
+#include "limpetpier/coordination/suspicion_table.h"
+
+#include <catch2/catch.hpp>
+
+#include "limpetpier/coordination/ownership.h"
+
+using namespace limpetpier;
+
+namespace {
+
+const monotonic_time start { std::chrono::hours { 1 } };
+
+node_id node(int number)
+{
+    return node_id { "n" + std::to_string(number) };
+}
+
+assignment_epoch eightNodes()
+{
+    assignment_epoch epoch;
+    epoch.number = epoch_number { 1 };
+    for (int number = 0; number < 8; ++number)
+        epoch.members.push_back({ node(number), data_centre_id { "x" }, "127.0.0.1:1", incarnation_number { 1 } });
+    return epoch;
+}
+
+// Ticks as a running process does, with everybody but one node heard.
+void runWithout(suspicion_table& table, int silent, milliseconds duration)
+{
+    for (auto elapsed = milliseconds(0); elapsed <= duration; elapsed += milliseconds(300)) {
+        for (int number = 0; number < 8; ++number) {
+            if (number != silent)
+                table.heard(node(number), start + elapsed);
+        }
+        table.tick(start + elapsed);
+    }
+}
+
+} // namespace
+
+TEST_CASE("A silent member")
+{
+    suspicion_table table(node(0));
+    table.adopt(eightNodes(), start);
+    runWithout(table, 5, milliseconds(2100));
+    const auto now = start + milliseconds(2100);
+
+    SECTION("is suspected by a witness")
+    {
+        REQUIRE(table.toShare(now).size() == 1);
+        REQUIRE(table.toShare(now)[0].subject == node(5));
+    }
+
+    SECTION("is not removed on one witness's word, since only the link between the two may be cut")
+    {
+        REQUIRE(table.removable(now).empty());
+    }
+
+    SECTION("is removed when so many witnesses suspect it that it cannot renew its right")
+    {
+        table.learn({ { node(5), incarnation_number { 1 }, node(1), 0 }, { node(5), incarnation_number { 1 }, node(2), 0 } }, now);
+        REQUIRE(table.removable(now).empty());
+        table.learn({ { node(5), incarnation_number { 1 }, node(3), 0 } }, now);
+        REQUIRE(table.removable(now) == std::vector<node_id> { node(5) });
+
+        SECTION("unless the suspicions are old")
+        {
+            REQUIRE(table.removable(now + suspicionLifetime).empty());
+        }
+    }
+
+    SECTION("is not removed for suspicions of an earlier incarnation")
+    {
+        for (int witness = 1; witness < 5; ++witness)
+            table.learn({ { node(5), incarnation_number { 0 }, node(witness), 0 } }, now);
+        REQUIRE(table.removable(now).empty());
+    }
+}
+
+TEST_CASE("A process that was paused suspects nobody when it resumes")
+{
+    suspicion_table table(node(0));
+    table.adopt(eightNodes(), start);
+    table.tick(start);
+    table.tick(start + std::chrono::minutes(1));
+    REQUIRE(table.toShare(start + std::chrono::minutes(1)).empty());
+}
