Split what had grown: ownership table, connection pool, running query, worker pool; drop dead code

Cause: cluster_agent, searcher_runtime and search_handler had passed 500 lines and mixed decisions with sockets; the two daemons repeated the worker loop, the two stand-ins the parsing of parameters; four events, a reason and three functions were never used. Change: which searchers a node owns and may use is now a decision class of its own (tested), the connections of a searcher a pool, one run of a query a class; unused events, reason and functions are gone, hand-over and broken-link events logged.

--- a/include/limpetpier/state/outcome.h
+++ b/include/limpetpier/state/outcome.h
@@ -36,7 +36,6 @@
     in_progress, // the same key is being run right now
     coverage_short, // less than the front's least coverage was reached
     cancelled,
-    stopping, // the process is shutting down
 };
 
 std::string_view toText(outcome value);
--- a/include/limpetpier/transport/http.h
+++ b/include/limpetpier/transport/http.h
@@ -48,7 +48,6 @@
     void cutConnections();
 
     [[nodiscard]] std::size_t connections() const;
-    [[nodiscard]] unsigned short port() const;
 
 private:
     class implementation;
--- a/include/limpetpier/transport/node_link.h
+++ b/include/limpetpier/transport/node_link.h
@@ -80,8 +80,6 @@
     // Checks the link to an address, if there is one, for a peer that has stopped answering.
     void probeQuiet(const std::string& address, milliseconds quiet, milliseconds grace);
 
-    void closeAll();
-
 private:
     asio::any_io_executor m_executor;
     const node_codec& m_codec;
--- a/include/limpetpier/transport/store_client.h
+++ b/include/limpetpier/transport/store_client.h
@@ -14,12 +14,6 @@
     std::string text;
 };
 
-// A virtual machine in the platform's lagging list.
-struct listed_vm {
-    std::string address;
-    bool leaving = false;
-};
-
 // The platform's small key-value service. All calls throw store_unavailable when no answer comes in time; then the
 // effect of a write is unknown and must be found out by reading.
 class store_client {
@@ -34,8 +28,6 @@
     // Waits until the version differs from the known one, at most for the given time.
     awaitable<store_value> watch(std::string key, std::uint64_t known, milliseconds wait);
 
-    awaitable<std::vector<listed_vm>> listVms();
-
 private:
     awaitable<std::string> call(std::string method, std::string target, std::string body, milliseconds timeout, unsigned& status);
 
--- a/programs/dispatch/cluster_agent.cc
+++ b/programs/dispatch/cluster_agent.cc
@@ -4,7 +4,6 @@
 #include <boost/asio.hpp>
 #include <random>
 
-#include "limpetpier/coordination/ownership.h"
 #include "limpetpier/coordination/section_edit.h"
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/events.h"
@@ -31,7 +30,7 @@
 
 } // namespace
 
-cluster_agent::cluster_agent(asio::any_io_executor executor, cluster_agent_settings settings, const node_codec& codec, link_directory& links, cluster_hooks hooks)
+cluster_agent::cluster_agent(asio::any_io_executor executor, cluster_agent_settings settings, link_directory& links, cluster_hooks hooks)
     : m_executor(std::move(executor))
     , m_settings(std::move(settings))
     , m_links(links)
@@ -43,8 +42,8 @@
     , m_fence(m_settings.self.id)
     , m_suspicions(m_settings.self.id)
     , m_keys(m_settings.self.id, m_settings.self.incarnation, wallNow())
+    , m_owned(m_settings.self.id)
 {
-    (void)codec;
 }
 
 cluster_agent::~cluster_agent() = default;
@@ -88,14 +87,13 @@
 bool cluster_agent::maySend(const searcher_id& searcher, monotonic_time now) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_owned.find(searcher);
-    return found != m_owned.end() && found->second.active && m_right.fresh(now);
+    return m_owned.isActive(searcher) && m_right.fresh(now);
 }
 
 bool cluster_agent::owns(const searcher_id& searcher) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_owned.contains(searcher);
+    return m_owned.owns(searcher);
 }
 
 bool cluster_agent::rightIsFresh(monotonic_time now) const
@@ -144,7 +142,7 @@
 std::size_t cluster_agent::pendingCount() const
 {
     const std::lock_guard lock(m_mutex);
-    return static_cast<std::size_t>(std::count_if(m_owned.begin(), m_owned.end(), [](const auto& entry) { return !entry.second.active; }));
+    return m_owned.pendingCount();
 }
 
 void cluster_agent::recordHandover(const handover_message& message)
@@ -323,14 +321,8 @@
         const std::lock_guard lock(m_mutex);
         if (epoch.number <= m_epoch->number)
             return;
-        const auto previous = m_epoch;
-        const auto now = monotonic_clock::now();
         m_epoch = std::make_shared<const assignment_epoch>(std::move(epoch));
-        m_right.adopt(*m_epoch, m_document->revision);
-        m_fence.adopt(*m_epoch, m_document->revision, now);
-        m_suspicions.adopt(*m_epoch, now);
-        m_keys.adopt(*m_epoch, wallNow());
-        recomputeOwnership(m_document.get(), previous.get());
+        adoptCurrent();
     }
     logEvent(event::epoch_adopted, "epoch=" + number(this->epoch()->number.value()) + " owned=" + number(ownedCount()) + " pending=" + number(pendingCount()));
     m_hooks.onChange();
@@ -356,66 +348,38 @@
             logEvent(event::document_older, "offered=" + number(offered->revision.value()) + " in_force=" + number(m_document->revision.value()));
             return;
         }
-        const auto previous = std::exchange(m_document, offered);
+        m_document = offered;
         m_documentText = text;
-        m_right.adopt(*m_epoch, m_document->revision);
-        m_fence.adopt(*m_epoch, m_document->revision, monotonic_clock::now());
-        recomputeOwnership(previous.get(), m_epoch.get());
+        adoptCurrent();
     }
     logEvent(event::document_adopted, "revision=" + number(offered->revision.value()) + " fronts=" + number(offered->fronts.size()));
     m_hooks.onChange();
 }
 
-void cluster_agent::recomputeOwnership(const operator_document* previousDocument, const assignment_epoch* previousEpoch)
+// Lets every decision class take over the epoch and document in force. The mutex is held.
+void cluster_agent::adoptCurrent()
 {
-    std::map<searcher_id, ownership> owned;
-    for (const auto& [id, front] : m_document->fronts) {
-        const auto before = previousDocument->fronts.find(id);
-        for (const auto& searcher : front.searchers) {
-            if (ownerOf(m_epoch->members, front, searcher) != m_settings.self.id)
-                continue;
-            auto& entry = owned[searcher.id];
-            entry.workLimit = front.deadline;
-            const auto known = m_owned.find(searcher.id);
-            if (known != m_owned.end() && known->second.active) {
-                entry.active = true;
-                continue;
-            }
-            if (known != m_owned.end())
-                entry.earlierOwners = known->second.earlierOwners;
-            for (const auto& past : m_epoch->history) {
-                if (const auto owner = ownerOf(past.members, front, searcher))
-                    entry.earlierOwners.insert(*owner);
-            }
-            if (before != previousDocument->fronts.end()) {
-                if (const auto owner = ownerOf(previousEpoch->members, before->second, searcher))
-                    entry.earlierOwners.insert(*owner);
-            }
-            entry.earlierOwners.erase(m_settings.self.id);
-        }
-    }
-    m_owned = std::move(owned);
-    activatePassed(monotonic_clock::now());
+    const auto now = monotonic_clock::now();
+    m_right.adopt(*m_epoch, m_document->revision);
+    m_fence.adopt(*m_epoch, m_document->revision, now);
+    m_suspicions.adopt(*m_epoch, now);
+    m_keys.adopt(*m_epoch, wallNow());
+    m_owned.adopt(*m_document, *m_epoch);
+    activatePassed(now);
 }
 
 void cluster_agent::activatePassed(monotonic_time now)
 {
-    for (auto& [searcher, entry] : m_owned)
-        entry.active = entry.active || m_fence.passed(entry.earlierOwners, entry.workLimit, now);
+    m_owned.activatePassed(m_fence, now);
     m_keys.checkFences(m_fence, now, wallNow());
 }
 
 std::vector<epoch_member> cluster_agent::probeTargets() const
 {
     std::set<node_id> wanted(m_right.witnesses().begin(), m_right.witnesses().end());
-    for (const auto& [searcher, entry] : m_owned) {
-        if (entry.active)
-            continue;
-        const auto peers = m_fence.peersToAsk(entry.earlierOwners);
-        wanted.insert(peers.begin(), peers.end());
-    }
-    const auto holders = m_keys.pending();
-    wanted.insert(holders.begin(), holders.end());
+    auto awaited = m_owned.awaitedOwners();
+    awaited.merge(m_keys.pending());
+    wanted.merge(m_fence.peersToAsk(awaited));
     wanted.erase(m_settings.self.id);
 
     std::map<node_id, epoch_member> found;
--- a/programs/dispatch/cluster_agent.h
+++ b/programs/dispatch/cluster_agent.h
@@ -10,6 +10,7 @@
 
 #include "limpetpier/coordination/dispatch_right.h"
 #include "limpetpier/coordination/key_holding.h"
+#include "limpetpier/coordination/ownership_table.h"
 #include "limpetpier/coordination/suspicion_table.h"
 #include "limpetpier/state/operator_document.h"
 #include "limpetpier/transport/node_link.h"
@@ -43,7 +44,7 @@
 // order_service, then cluster_agent, then leaves. No mutex is held across I/O, and hooks are called without one.
 class cluster_agent {
 public:
-    cluster_agent(asio::any_io_executor executor, cluster_agent_settings settings, const node_codec& codec, link_directory& links, cluster_hooks hooks);
+    cluster_agent(asio::any_io_executor executor, cluster_agent_settings settings, link_directory& links, cluster_hooks hooks);
     ~cluster_agent();
     cluster_agent(const cluster_agent&) = delete;
     cluster_agent& operator=(const cluster_agent&) = delete;
@@ -90,12 +91,6 @@
     [[nodiscard]] std::uint64_t storeCalls() const { return m_storeCalls; }
 
 private:
-    struct ownership {
-        bool active = false;
-        std::set<node_id> earlierOwners;
-        milliseconds workLimit { 0 }; // longest deadline of the front
-    };
-
     awaitable<void> followDocument();
     awaitable<void> followEpoch();
     awaitable<void> probeLoop();
@@ -106,7 +101,7 @@
 
     void offerEpoch(assignment_epoch epoch);
     void offerDocument(const std::string& text);
-    void recomputeOwnership(const operator_document* previousDocument, const assignment_epoch* previousEpoch);
+    void adoptCurrent();
     void activatePassed(monotonic_time now);
     void askPeers();
     void noteStore(bool up);
@@ -130,7 +125,7 @@
     owner_fence m_fence;
     suspicion_table m_suspicions;
     key_holding m_keys;
-    std::map<searcher_id, ownership> m_owned;
+    ownership_table m_owned;
     std::map<std::uint64_t, monotonic_time> m_probeSentAt;
     std::uint64_t m_probeSequence = 0;
     bool m_rightWasFresh = false;
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -2,11 +2,11 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <iostream>
-#include <thread>
 
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/events.h"
 #include "limpetpier/transport/settings.h"
+#include "limpetpier/transport/worker_pool.h"
 #include "order_service.h"
 
 namespace limpetpier {
@@ -56,7 +56,7 @@
         : m_io(io)
         , m_codec(settings.text("deployment"), settings.text("node-secret"))
         , m_links(io.get_executor(), m_codec, handlers())
-        , m_agent(io.get_executor(), { makeSelf(settings), settings.text("store"), settings.list("peers") }, m_codec, m_links, hooks())
+        , m_agent(io.get_executor(), { makeSelf(settings), settings.text("store"), settings.list("peers") }, m_links, hooks())
         , m_searches(io.get_executor(), m_agent, m_metrics)
         , m_orders(io.get_executor(), m_agent, m_searches, m_links, m_calls)
         , m_server(io.get_executor(), parseTcpEndpoint(settings.text("listen")), m_codec, handlers())
@@ -90,8 +90,10 @@
         };
         result.onClosed = [this](const node_link_handle& link, bool wasOpen) {
             m_searches.dropLink(link);
-            if (!link->peerAddress().empty())
-                m_calls.handleClosed(link->peerAddress(), wasOpen);
+            if (link->peerAddress().empty())
+                return;
+            logEvent(event::link_closed, "peer=" + link->peerAddress());
+            m_calls.handleClosed(link->peerAddress(), wasOpen);
         };
         result.onBadFrame = [](const std::string& what) { logEvent(event::bad_frame, what); };
         return result;
@@ -264,13 +266,7 @@
     dispatcher process(io, settings);
     process.start();
     logEvent(event::started, "listen=" + settings.text("listen") + " data_centre=" + settings.text("data-centre"));
-    std::vector<std::thread> workers;
-    for (std::int64_t worker = 1; worker < settings.number("workers"); ++worker)
-        workers.emplace_back([&io] { io.run(); });
-    io.run();
-    for (auto& worker : workers)
-        worker.join();
-    std::cout.flush();
+    runWorkers(io, static_cast<std::size_t>(settings.number("workers")));
     std::_Exit(EXIT_SUCCESS); // the operating system closes what is open; nothing is kept
 }
 
--- a/programs/dispatch/order_service.cc
+++ b/programs/dispatch/order_service.cc
@@ -300,6 +300,7 @@
     if (message.epoch > m_agent.epoch()->number)
         return; // sent again once this node knows the epoch
     m_agent.recordHandover(message);
+    logEvent(event::handover_received, "from=" + message.from.value() + " epoch=" + std::to_string(message.epoch.value()));
     link->send(handover_ack { m_agent.self(), message.epoch });
 }
 
--- a/programs/dispatch/searcher_runtime.cc
+++ b/programs/dispatch/searcher_runtime.cc
@@ -12,7 +12,6 @@
 constexpr milliseconds refreshInterval { 250 };
 constexpr milliseconds barredCheckInterval { 25 };
 constexpr milliseconds refreshTimeout { 300 };
-constexpr milliseconds connectTimeout { 250 };
 
 // A request that runs this many times longer than usual, and at least leastStall, makes the owner ask the searcher for
 // a sign of life on another connection; without one within stallTimeout the searcher counts as unreachable.
@@ -57,6 +56,7 @@
     , m_record(std::move(record))
     , m_whyNotSend(std::move(whyNotSend))
     , m_gate(front.slots, front.coldAllowance)
+    , m_connections(m_executor, parseTcpEndpoint(m_spec.address), front.connections)
 {
     m_limits.searchers.clear();
     m_report.searcher = m_spec.id;
@@ -74,7 +74,7 @@
     asio::post(m_executor, [self = shared_from_this()] {
         self->m_stopped = true;
         self->refuseAll(reason::not_owner);
-        self->m_idle.clear();
+        self->m_connections.retire();
     });
 }
 
@@ -166,7 +166,7 @@
 
 awaitable<void> searcher_runtime::run(gate_item item, std::shared_ptr<searcher_runtime> self)
 {
-    auto connection = co_await takeConnection();
+    auto connection = co_await m_connections.take();
     auto& entry = m_jobs.at(item.token);
     const auto startedAt = monotonic_clock::now();
     const auto finish = [&](slot_end slot, const job_result& result) {
@@ -186,7 +186,7 @@
     if (why == reason::none && startedAt >= item.deadline)
         why = reason::deadline_passed;
     if (why != reason::none) {
-        giveBack(std::move(connection));
+        m_connections.giveBack(std::move(connection));
         finish(slot_end::cancelled, notRun(why));
         co_return;
     }
@@ -209,9 +209,9 @@
     if (exchanged.stage != exchange_stage::replied && monotonic_clock::now() >= item.deadline) {
         // No byte until the deadline: this connection and those unused for longer may have gone silent.
         logEvent(event::connection_silent, "searcher=" + m_spec.id.value());
-        dropIdle();
+        m_connections.dropIdle();
     }
-    giveBack(std::move(connection));
+    m_connections.giveBack(std::move(connection));
     finish(slot, result);
 }
 
@@ -224,11 +224,10 @@
     const bool sendAgain = exchanged.stage != exchange_stage::replied && entry.onSilentConnection && monotonic_clock::now() < deadline;
     if (!sendAgain)
         co_return exchanged;
-    giveBack(std::move(connection));
-    connection = co_await openConnection();
+    m_connections.giveBack(std::move(connection));
+    connection = co_await m_connections.open();
     if (!connection) {
-        connection = std::make_shared<http_connection>(m_executor); // closed: giveBack() only counts it
-        ++m_open;
+        connection = m_connections.makeClosed();
         co_return exchanged;
     }
     entry.connection = connection;
@@ -296,10 +295,10 @@
     if (!self->m_jobs.contains(token) || self->m_checkingStall || !self->m_reachable)
         co_return;
     self->m_checkingStall = true;
-    const bool hasOld = !self->m_idle.empty();
-    const bool oldAnswers = hasOld && co_await self->answersOn(co_await self->takeConnection());
+    const bool hasOld = self->m_connections.idle() > 0;
+    const bool oldAnswers = hasOld && co_await self->answersOn(co_await self->m_connections.take());
     if (!oldAnswers) {
-        const auto fresh = co_await self->openConnection();
+        const auto fresh = co_await self->m_connections.open();
         const bool freshAnswers = co_await self->answersOn(fresh);
         if (!freshAnswers)
             self->noteUnreachable();
@@ -315,7 +314,7 @@
     if (!connection)
         co_return false;
     const auto exchanged = co_await connection->exchange(makeStateRequest(), stallTimeout);
-    giveBack(std::move(connection));
+    m_connections.giveBack(std::move(connection));
     co_return exchanged.stage == exchange_stage::replied;
 }
 
@@ -324,8 +323,8 @@
 awaitable<void> searcher_runtime::leaveSilentConnections(std::shared_ptr<http_connection> fresh)
 {
     logEvent(event::connection_silent, "searcher=" + m_spec.id.value());
-    std::erase(m_idle, fresh);
-    dropIdle();
+    m_connections.reclaim(fresh);
+    m_connections.dropIdle();
     std::vector<gate_token> stalled;
     for (const auto& [token, entry] : m_jobs) {
         if (entry.connection && entry.job.request.isSearch())
@@ -342,13 +341,7 @@
         still->second.onSilentConnection = true;
         still->second.connection->close();
     }
-    giveBack(fresh);
-}
-
-void searcher_runtime::dropIdle()
-{
-    m_open -= m_idle.size();
-    m_idle.clear();
+    m_connections.giveBack(fresh);
 }
 
 milliseconds searcher_runtime::stallAfter() const
@@ -368,44 +361,11 @@
 
 awaitable<void> searcher_runtime::sendCancel(std::string requestId, std::shared_ptr<searcher_runtime> self)
 {
-    auto connection = co_await self->takeConnection();
+    auto connection = co_await self->m_connections.take();
     if (!connection)
         co_return;
     co_await connection->exchange(makeCancelRequest(requestId), refreshTimeout);
-    self->giveBack(std::move(connection));
-}
-
-// An idle connection, or a new one within the searcher's limit; nothing if none can be had.
-awaitable<std::shared_ptr<http_connection>> searcher_runtime::takeConnection()
-{
-    while (!m_idle.empty()) {
-        auto connection = std::move(m_idle.back());
-        m_idle.pop_back();
-        if (connection->isOpen())
-            co_return connection;
-        --m_open;
-    }
-    co_return co_await openConnection();
-}
-
-awaitable<std::shared_ptr<http_connection>> searcher_runtime::openConnection()
-{
-    if (m_open >= m_limits.connections)
-        co_return nullptr;
-    ++m_open;
-    auto connection = std::make_shared<http_connection>(m_executor);
-    if (co_await connection->connect(parseTcpEndpoint(m_spec.address), connectTimeout))
-        co_return connection;
-    --m_open;
-    co_return nullptr;
-}
-
-void searcher_runtime::giveBack(std::shared_ptr<http_connection> connection)
-{
-    if (connection->isOpen() && !m_stopped)
-        m_idle.push_back(std::move(connection));
-    else
-        --m_open;
+    self->m_connections.giveBack(std::move(connection));
 }
 
 void searcher_runtime::end(gate_token token, const job_result& result)
@@ -486,18 +446,13 @@
 // is found without a request.
 awaitable<void> searcher_runtime::refresh()
 {
-    if (!m_idle.empty()) {
-        auto oldest = std::move(m_idle.front());
-        m_idle.pop_front();
-        m_idle.push_back(std::move(oldest));
-    }
-    auto connection = co_await takeConnection();
+    auto connection = co_await m_connections.takeOldest();
     std::optional<target_state> state;
     if (connection) {
         const auto exchanged = co_await connection->exchange(makeStateRequest(), refreshTimeout);
         if (exchanged.stage == exchange_stage::replied)
             state = parseTargetState(exchanged.reply);
-        giveBack(std::move(connection));
+        m_connections.giveBack(std::move(connection));
     }
     m_asked = true;
     if (!state) {
@@ -516,9 +471,9 @@
     m_draining = state->draining;
     m_held = std::move(state->held);
     publish();
-    if (m_idle.size() < leastIdle) {
-        if (auto spare = co_await openConnection())
-            giveBack(std::move(spare));
+    if (m_connections.idle() < leastIdle) {
+        if (auto spare = co_await m_connections.open())
+            m_connections.giveBack(std::move(spare));
     }
 }
 
--- a/programs/dispatch/searcher_runtime.h
+++ b/programs/dispatch/searcher_runtime.h
@@ -2,16 +2,15 @@
 
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 
+#include "connection_pool.h"
 #include "limpetpier/coordination/searcher_gate.h"
 #include "limpetpier/protocol/target_protocol.h"
 #include "limpetpier/state/operator_document.h"
-#include "limpetpier/transport/http.h"
 
 namespace limpetpier {
 
@@ -104,13 +103,9 @@
     awaitable<void> watchSlow(gate_token token, microseconds after, std::shared_ptr<searcher_runtime> self);
     awaitable<void> watchStall(gate_token token, std::shared_ptr<searcher_runtime> self);
     awaitable<void> sendCancel(std::string requestId, std::shared_ptr<searcher_runtime> self);
-    awaitable<std::shared_ptr<http_connection>> takeConnection();
-    awaitable<std::shared_ptr<http_connection>> openConnection();
     awaitable<bool> answersOn(std::shared_ptr<http_connection> connection);
     awaitable<exchange_result> exchangeOnce(gate_token token, std::shared_ptr<http_connection>& connection, target_request& request, monotonic_time deadline);
     awaitable<void> leaveSilentConnections(std::shared_ptr<http_connection> fresh);
-    void dropIdle();
-    void giveBack(std::shared_ptr<http_connection> connection);
     void pump();
     void end(gate_token token, const job_result& result);
     void refuseAll(reason why);
@@ -129,8 +124,7 @@
     std::function<reason()> m_whyNotSend;
     searcher_gate m_gate;
     std::map<gate_token, open_job> m_jobs;
-    std::deque<std::shared_ptr<http_connection>> m_idle; // front: used longest ago
-    std::size_t m_open = 0;
+    connection_pool m_connections;
     boot_id m_boot;
     bool m_reachable = false;
     bool m_draining = false;
--- a/programs/front/main.cc
+++ b/programs/front/main.cc
@@ -2,13 +2,13 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <iostream>
-#include <thread>
 
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/events.h"
 #include "limpetpier/transport/http.h"
 #include "limpetpier/transport/metrics.h"
 #include "limpetpier/transport/settings.h"
+#include "limpetpier/transport/worker_pool.h"
 #include "order_handler.h"
 #include "search_handler.h"
 
@@ -85,6 +85,7 @@
                 m_view.handleState(*state);
         };
         result.onClosed = [this](const node_link_handle& link, bool wasOpen) {
+            logEvent(event::link_closed, "peer=" + link->peerAddress());
             m_view.handleClosed(link->peerAddress());
             m_searches.handleClosed(link->peerAddress());
             m_calls.handleClosed(link->peerAddress(), wasOpen);
@@ -243,12 +244,7 @@
     front_process process(io, settings);
     process.start();
     logEvent(event::started, "http=" + settings.text("http"));
-    std::vector<std::thread> workers;
-    for (std::int64_t worker = 1; worker < settings.number("workers"); ++worker)
-        workers.emplace_back([&io] { io.run(); });
-    io.run();
-    for (auto& worker : workers)
-        worker.join();
+    runWorkers(io, static_cast<std::size_t>(settings.number("workers")));
     std::_Exit(EXIT_SUCCESS); // the operating system closes what is open; nothing is kept
 }
 
--- /dev/null
+++ b/programs/front/running_query.cc
@@ -0,0 +1,191 @@
+#include "running_query.h"
+
+#include <boost/asio.hpp>
+
+namespace limpetpier {
+
+namespace {
+
+// Retries earned by each answered sub-request, and how many may be saved up.
+constexpr double retryShare = 0.1;
+constexpr double retryBurst = 50;
+
+} // namespace
+
+front_policy::front_policy(double budget)
+    : hedgeBudget(budget)
+    , hedges(budget)
+    , retries(retryShare, retryBurst)
+{
+}
+
+running_query::running_query(asio::any_io_executor executor, query_number number, const front_route_handle& route, const search_request& request, pinned_snapshot pinned, std::shared_ptr<front_policy> policy, link_directory& links, monotonic_time deadline)
+    : m_done(executor, deadline)
+    , m_executor(std::move(executor))
+    , m_number(number)
+    , m_route(route)
+    , m_request(request)
+    , m_policy(std::move(policy))
+    , m_plan(std::move(pinned), m_policy->hedges, m_policy->retries)
+    , m_links(links)
+    , m_deadline(deadline)
+{
+}
+
+template <typename Decision>
+void running_query::act(const Decision& decide)
+{
+    if (m_ended)
+        return;
+    std::vector<sub_send> sends;
+    std::vector<sub_cancel> cancels;
+    microseconds slowAfter { 0 };
+    {
+        const std::lock_guard lock(m_policy->mutex);
+        sends = decide();
+        cancels = m_plan.takeCancels();
+        const auto threshold = m_policy->hedges.threshold();
+        slowAfter = threshold == hedge_policy::maximum() ? microseconds { 0 } : threshold;
+        for (const auto& send : sends)
+            ++m_policy->outstanding[send.searcher];
+    }
+    sendAll(sends, slowAfter);
+    sendCancels(cancels);
+    if (m_plan.complete())
+        m_done.cancel();
+}
+
+awaitable<void> running_query::run()
+{
+    act([this] { return m_plan.start(); });
+    if (!m_plan.complete()) {
+        boost::system::error_code ignored;
+        co_await m_done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    m_ended = true;
+    std::vector<sub_cancel> cancels;
+    {
+        const std::lock_guard lock(m_policy->mutex);
+        cancels = m_plan.abandon();
+    }
+    sendCancels(cancels);
+    const std::lock_guard lock(m_policy->mutex);
+    for (const auto& [ref, place] : m_places)
+        --m_policy->outstanding[place.searcher];
+}
+
+void running_query::postReply(const sub_reply& reply)
+{
+    asio::post(m_executor, [self = shared_from_this(), reply] { self->onReply(reply); });
+}
+
+void running_query::postSlow(attempt_ref ref)
+{
+    asio::post(m_executor, [self = shared_from_this(), ref] {
+        self->act([&] { return self->m_plan.onSlow(ref); });
+    });
+}
+
+void running_query::postClosed(const std::string& address)
+{
+    asio::post(m_executor, [self = shared_from_this(), address] {
+        for (const auto& ref : self->waitingAt(address))
+            self->onReply({ self->m_number, ref, outcome::outcome_unknown, reason::link_lost, {}, {}, 0 });
+    });
+}
+
+void running_query::postQuiet(const std::string& address)
+{
+    asio::post(m_executor, [self = shared_from_this(), address] {
+        for (const auto& ref : self->waitingAt(address))
+            self->act([&] { return self->m_plan.onQuietOwner(ref); });
+    });
+}
+
+std::vector<attempt_ref> running_query::waitingAt(const std::string& address) const
+{
+    std::vector<attempt_ref> waiting;
+    for (const auto& [ref, place] : m_places) {
+        if (place.address == address)
+            waiting.push_back(ref);
+    }
+    return waiting;
+}
+
+void running_query::onReply(const sub_reply& reply)
+{
+    const auto found = m_places.find(reply.ref);
+    if (found == m_places.end())
+        return;
+    {
+        const std::lock_guard lock(m_policy->mutex);
+        --m_policy->outstanding[found->second.searcher];
+        if (reply.result == outcome::answered)
+            m_policy->hedges.recordService(microseconds { reply.serviceUs });
+    }
+    m_places.erase(found);
+    act([&] { return m_plan.onReply({ reply.ref, reply.result, reply.why, reply.from, reply.hits }); });
+}
+
+void running_query::sendAll(const std::vector<sub_send>& sends, microseconds slowAfter)
+{
+    std::map<std::string, search_batch> batches;
+    for (const auto& send : sends) {
+        const auto owner = m_route->ownerAddresses.find(send.searcher);
+        const auto address = owner == m_route->ownerAddresses.end() ? std::string() : owner->second;
+        m_places[send.ref] = { send.searcher, address };
+        if (send.delay.count() > 0)
+            sendLater(send, address, slowAfter);
+        else
+            batches[address].items.push_back({ send.ref, send.searcher, send.hedge });
+    }
+    for (auto& [address, batch] : batches)
+        sendBatch(address, batch, slowAfter);
+}
+
+void running_query::sendLater(const sub_send& send, const std::string& address, microseconds slowAfter)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_executor, send.delay);
+    timer->async_wait([self = shared_from_this(), timer, send, address, slowAfter](const boost::system::error_code&) {
+        if (self->m_ended)
+            return;
+        search_batch batch;
+        batch.items.push_back({ send.ref, send.searcher, send.hedge });
+        self->sendBatch(address, batch, slowAfter);
+    });
+}
+
+void running_query::sendBatch(const std::string& address, search_batch& batch, microseconds slowAfter)
+{
+    if (address.empty()) {
+        for (const auto& item : batch.items)
+            postReply({ m_number, item.ref, outcome::not_run, reason::no_owner, {}, {}, 0 });
+        return;
+    }
+    batch.query = m_number;
+    batch.front = m_route->spec.id;
+    batch.text = m_request.query;
+    batch.limit = m_request.limit;
+    batch.priority = m_route->spec.priority;
+    const auto left = std::chrono::duration_cast<microseconds>(m_deadline - monotonic_clock::now());
+    batch.budget = { left.count(), wallNow().time_since_epoch().count() };
+    batch.slowAfterUs = slowAfter.count();
+    batch.snapshot = m_plan.snapshot();
+    m_links.send(address, batch);
+}
+
+void running_query::sendCancels(const std::vector<sub_cancel>& cancels)
+{
+    std::map<std::string, cancel_message> messages;
+    for (const auto& cancel : cancels) {
+        const auto found = m_places.find(cancel.ref);
+        if (found != m_places.end() && !found->second.address.empty())
+            messages[found->second.address].refs.push_back(cancel.ref);
+    }
+    for (auto& [address, message] : messages) {
+        message.query = m_number;
+        m_links.send(address, message);
+    }
+}
+
+} // namespace limpetpier
--- a/programs/front/search_handler.h
+++ b/programs/front/search_handler.h
@@ -7,10 +7,7 @@
 #include <random>
 #include <set>
 
-#include "cluster_view.h"
-#include "limpetpier/coordination/admission.h"
-#include "limpetpier/coordination/fan_out_plan.h"
-#include "limpetpier/protocol/caller_protocol.h"
+#include "running_query.h"
 
 namespace limpetpier {
 
@@ -37,21 +34,8 @@
     [[nodiscard]] std::size_t openQueries() const;
 
 private:
-    class running_query;
     using query_handle = std::shared_ptr<running_query>;
 
-    // What the queries of one front share.
-    struct front_policy {
-        explicit front_policy(double budget);
-
-        const double hedgeBudget; // a change of it in the document starts a new policy
-        std::mutex mutex;
-        hedge_policy hedges;
-        ratio_budget retries;
-        concurrency_limit admission;
-        std::map<searcher_id, std::uint32_t> outstanding;
-    };
-
     std::shared_ptr<front_policy> policyOf(const front_spec& front);
     awaitable<search_answer> runQuery(front_route_handle route, search_request request, std::shared_ptr<front_policy> policy, monotonic_time startedAt);
     pinned_snapshot orderReplicas(pinned_snapshot pinned, front_policy& policy);
--- a/src/state/outcome.cc
+++ b/src/state/outcome.cc
@@ -62,8 +62,6 @@
         return "coverage_short";
     case reason::cancelled:
         return "cancelled";
-    case reason::stopping:
-        return "stopping";
     }
     return "none";
 }
--- a/src/transport/http.cc
+++ b/src/transport/http.cc
@@ -89,8 +89,6 @@
         return m_streams.size();
     }
 
-    [[nodiscard]] unsigned short port() const { return m_acceptor.local_endpoint().port(); }
-
 private:
     awaitable<void> acceptLoop()
     {
@@ -247,7 +245,6 @@
 void http_server::drain() { m_implementation->stopAccepting(); }
 void http_server::cutConnections() { m_implementation->cut(); }
 std::size_t http_server::connections() const { return m_implementation->connections(); }
-unsigned short http_server::port() const { return m_implementation->port(); }
 
 class http_connection::implementation {
 public:
--- a/src/transport/node_link.cc
+++ b/src/transport/node_link.cc
@@ -272,13 +272,6 @@
     link->probeIfQuiet(quiet, grace);
 }
 
-void link_directory::closeAll()
-{
-    const std::lock_guard lock(m_mutex);
-    for (auto& [address, link] : m_links)
-        link->close();
-}
-
 class link_server::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(asio::any_io_executor executor, const tcp::endpoint& endpoint, const node_codec& codec, link_handlers handlers)
--- a/src/transport/store_client.cc
+++ b/src/transport/store_client.cc
@@ -61,17 +61,6 @@
     co_return parseValue(body);
 }
 
-awaitable<std::vector<listed_vm>> store_client::listVms()
-{
-    unsigned status = 0;
-    const auto body = co_await call("GET", "/vms", {}, m_timeout, status);
-    std::vector<listed_vm> result;
-    const auto value = json::parse(body);
-    for (const auto& item : value.as_array())
-        result.push_back({ json::value_to<std::string>(item.at("address")), item.at("leaving").as_bool() });
-    co_return result;
-}
-
 awaitable<std::string> store_client::call(std::string method, std::string target, std::string body, milliseconds timeout, unsigned& status)
 {
     http_connection connection(m_executor);
--- a/test/codec_test.cc
+++ b/test/codec_test.cc
@@ -40,7 +40,7 @@
             auto tampered = std::string(sealed);
             const auto position = *rc::gen::inRange<std::size_t>(0, tampered.size());
             tampered[position] = static_cast<char>(tampered[position] ^ *rc::gen::inRange(1, 256));
-            RC_ASSERT_THROWS_AS(codec.openFrame(tampered), frame_error);
+            RC_ASSERT_THROWS_AS((void)codec.openFrame(tampered), frame_error);
         });
         REQUIRE(holds);
     }
--- a/test/standins/fake_platform.cc
+++ b/test/standins/fake_platform.cc
@@ -16,6 +16,7 @@
 
 #include "limpetpier/transport/http.h"
 #include "limpetpier/transport/settings.h"
+#include "query_parameter.h"
 
 using namespace limpetpier;
 namespace json = boost::json;
@@ -30,18 +31,9 @@
     std::uint64_t lease = 0;
 };
 
-std::string parameter(const std::string& target, const std::string& name)
-{
-    const auto start = target.find(name + "=");
-    if (start == std::string::npos)
-        return {};
-    const auto from = start + name.size() + 1;
-    return target.substr(from, target.find('&', from) - from);
-}
-
 std::uint64_t numberParameter(const std::string& target, const std::string& name)
 {
-    const auto text = parameter(target, name);
+    const auto text = queryParameter(target, name);
     return text.empty() ? 0 : std::stoull(text);
 }
 
@@ -108,11 +100,11 @@
 
     http_reply setFault(const std::string& target)
     {
-        if (!parameter(target, "down").empty())
+        if (!queryParameter(target, "down").empty())
             m_down = numberParameter(target, "down") != 0;
-        if (!parameter(target, "lose_answers").empty())
+        if (!queryParameter(target, "lose_answers").empty())
             m_loseAnswers = numberParameter(target, "lose_answers");
-        if (!parameter(target, "delay_ms").empty())
+        if (!queryParameter(target, "delay_ms").empty())
             m_delayMs = numberParameter(target, "delay_ms");
         return reply(200, json::object {});
     }
--- a/test/standins/fake_target.cc
+++ b/test/standins/fake_target.cc
@@ -22,6 +22,7 @@
 #include "limpetpier/state/snapshot.h"
 #include "limpetpier/transport/http.h"
 #include "limpetpier/transport/settings.h"
+#include "query_parameter.h"
 
 using namespace limpetpier;
 namespace json = boost::json;
@@ -44,15 +45,6 @@
 constexpr milliseconds fallenFor { 700 };
 constexpr std::uint64_t hitsPerShard = 5;
 
-std::string parameter(const std::string& target, const std::string& name)
-{
-    const auto start = target.find(name + "=");
-    if (start == std::string::npos)
-        return {};
-    const auto from = start + name.size() + 1;
-    return target.substr(from, target.find('&', from) - from);
-}
-
 // Range of an instance in a shard map; every map has other borders.
 key_range rangeOf(std::uint64_t map, std::uint32_t instance, std::uint32_t instances)
 {
@@ -374,14 +366,14 @@
             reply.body = json::serialize(json::object { { "searches", counts.searches }, { "runs", counts.runs }, { "over_cold", counts.overCold }, { "over_slots", counts.overSlots }, { "cancels", counts.cancels }, { "highest_cold_in_flight", counts.highestColdInFlight } });
             co_return reply;
         }
-        const auto wanted = parameter(request.target, "searcher");
-        const auto value = parameter(request.target, "value");
+        const auto wanted = queryParameter(request.target, "searcher");
+        const auto value = queryParameter(request.target, "value");
         std::size_t matched = 0;
         for (const auto& searcher : searchers) {
             if (wanted != "*" && wanted != searcher->id())
                 continue;
             ++matched;
-            searcher->control(parameter(request.target, "action"), value.empty() ? 0 : std::stoull(value));
+            searcher->control(queryParameter(request.target, "action"), value.empty() ? 0 : std::stoull(value));
         }
         reply.status = matched > 0 ? 200 : 404;
         co_return reply;
