--- a/programs/load/load_generator.cc
+++ b/programs/load/load_generator.cc
@@ -17,6 +17,7 @@
 constexpr milliseconds exchangeTimeout { 5000 };
 constexpr milliseconds retryPause { 60 };
 constexpr milliseconds watchInterval { 50 };
+constexpr unsigned statusOk = 200;
 
 std::int64_t wallMs()
 {
@@ -59,13 +60,15 @@
     , m_random(m_options.seed)
 {
     for (const auto& address : m_options.fronts)
-        m_pools.push_back({ address, {} });
+        m_pools.push_back({ address, {}, true });
     if (!m_options.recordsPath.empty())
         m_records.open(m_options.recordsPath, std::ios::app);
 }
 
 awaitable<void> load_generator::run()
 {
+    for (std::size_t position = 0; m_options.balanced && position < m_pools.size(); ++position)
+        asio::co_spawn(m_executor, watchReadiness(position), asio::detached);
     for (const auto& node : m_options.watchedNodes)
         asio::co_spawn(m_executor, watchNode(node), asio::detached);
     std::exponential_distribution<double> gapSeconds(m_options.rate);
@@ -110,7 +113,7 @@
 {
     const auto query = "q" + std::to_string(m_options.seed) + "-" + std::to_string(number);
     const auto sentAt = wallMs();
-    const auto result = co_await exchange(m_pools[number % m_pools.size()], searchRequest(query));
+    const auto result = co_await exchange(choosePool(number), searchRequest(query));
     const auto latency = elapsedUs(intendedAt);
     ++m_summary.requests;
     const auto body = parseBody(result);
@@ -154,7 +157,7 @@
             request.fields = { { "X-Request-Id", key }, { "X-Deadline-Ms", "1000" }, { "Idempotency-Key", key } };
         }
         const auto sentAt = wallMs();
-        const auto result = co_await exchange(m_pools[(number + attempt) % m_pools.size()], std::move(request));
+        const auto result = co_await exchange(choosePool(number + attempt), std::move(request));
         const auto body = parseBody(result);
         ended = result.stage == exchange_stage::replied ? textOf(body, "outcome") : "cut";
         if (m_options.direct && result.stage == exchange_stage::replied)
@@ -205,10 +208,37 @@
     co_return result;
 }
 
+// The pool whose turn it is, or the next one that is ready.
+load_generator::pool& load_generator::choosePool(std::uint64_t number)
+{
+    for (std::size_t step = 0; step < m_pools.size(); ++step) {
+        auto& candidate = m_pools[(number + step) % m_pools.size()];
+        if (candidate.ready)
+            return candidate;
+    }
+    return m_pools[number % m_pools.size()];
+}
+
+// Asks a front for its readiness, as the platform's balancer does.
+awaitable<void> load_generator::watchReadiness(std::size_t position)
+{
+    pool probe { m_pools[position].address, {}, true };
+    asio::steady_timer timer(m_executor);
+    while (!m_ended) {
+        http_request request { "GET", "/readyz", {}, {} };
+        const auto result = co_await exchange(probe, std::move(request));
+        m_pools[position].ready = result.stage == exchange_stage::replied && result.reply.status == statusOk;
+        if (!m_pools[position].ready)
+            m_pools[position].idle.clear(); // its process may be another one when it is ready again
+        timer.expires_after(watchInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 // Samples the revision that a node has in force.
 awaitable<void> load_generator::watchNode(std::string address)
 {
-    pool node { address, {} };
+    pool node { address, {}, true };
     asio::steady_timer timer(m_executor);
     while (!m_ended) {
         http_request request { "GET", "/status", {}, {} };
--- a/programs/load/load_generator.h
+++ b/programs/load/load_generator.h
@@ -22,6 +22,7 @@
     std::uint32_t limit = 0;
     std::uint32_t maxAttempts = 1; // tries of one order with the same key
     milliseconds deadline { 0 }; // 0: the front's own
+    bool balanced = false; // send only to fronts that say they are ready, as a balancer does
     bool direct = false; // speak the target protocol to a searcher, as a baseline
     std::vector<std::string> watchedNodes; // HTTP addresses whose revision is sampled
     std::string recordsPath;
@@ -56,11 +57,14 @@
     struct pool {
         std::string address;
         std::vector<std::unique_ptr<http_connection>> idle;
+        bool ready = true;
     };
 
     awaitable<void> sendSearch(std::uint64_t number, monotonic_time intendedAt);
     awaitable<void> sendOrder(std::uint64_t number, monotonic_time intendedAt);
     awaitable<exchange_result> exchange(pool& target, http_request request);
+    awaitable<void> watchReadiness(std::size_t position);
+    pool& choosePool(std::uint64_t number);
     awaitable<void> watchNode(std::string address);
     awaitable<void> finishOne(awaitable<void> work);
     http_request searchRequest(const std::string& query) const;
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -22,6 +22,7 @@
         { "limit", "1000", "Results asked of each search", setting_kind::number, true, 1, 1000, false },
         { "max-attempts", "4", "Tries of one order with the same key", setting_kind::number, true, 1, 100, false },
         { "deadline-ms", "0", "Deadline sent with each request, in milliseconds; 0 is the front's own", setting_kind::number, true, 0, 2000, false },
+        { "balanced", "0", "1: send only to fronts that say they are ready", setting_kind::number, true, 0, 1, false },
         { "direct", "0", "1: speak the target protocol to a searcher, as a baseline", setting_kind::number, true, 0, 1, false },
         { "watch", "", "IP:port list of nodes whose revision is sampled", setting_kind::text, false, 0, 0, false },
         { "records", "", "File for one line an outcome", setting_kind::text, false, 0, 0, false },
@@ -43,6 +44,7 @@
     options.limit = static_cast<std::uint32_t>(settings.number("limit"));
     options.maxAttempts = static_cast<std::uint32_t>(settings.number("max-attempts"));
     options.deadline = milliseconds { settings.number("deadline-ms") };
+    options.balanced = settings.number("balanced") == 1;
     options.direct = settings.number("direct") == 1;
     options.watchedNodes = settings.list("watch");
     options.recordsPath = settings.text("records");
