Changed slots take effect in running dispatchers; one lookup for withdrawal; connections out of step are closed

Causes, found by reading: a dispatcher kept a searcher's slots, connections and cold allowance from when it first owned it, so an accepted change was in force only after a restart; the test (changed slots while it runs) did not even compile before. Whether a searcher takes new work was found by walking all searchers of all fronts, three times a sub-request. A reply with another request's id left its connection in use. Change: limits are handed to running gates and pools without losing the ramp; the document derives the set of searchers that take work; such a connection is closed. main() of four programs is one function now.

--- a/include/limpetpier/coordination/cold_ramp.h
+++ b/include/limpetpier/coordination/cold_ramp.h
@@ -31,6 +31,9 @@
 public:
     cold_ramp(std::uint32_t slots, std::uint32_t coldAllowance);
 
+    // Takes over changed limits without losing what the searcher has proved.
+    void changeLimits(std::uint32_t slots, std::uint32_t coldAllowance);
+
     void observe(searcher_evidence evidence);
 
     [[nodiscard]] std::uint32_t allowance() const;
--- a/include/limpetpier/coordination/searcher_gate.h
+++ b/include/limpetpier/coordination/searcher_gate.h
@@ -39,6 +39,9 @@
 public:
     searcher_gate(std::uint32_t slots, std::uint32_t coldAllowance);
 
+    // Takes over changed limits; what runs already goes on.
+    void changeLimits(std::uint32_t slots, std::uint32_t coldAllowance) { m_ramp.changeLimits(slots, coldAllowance); }
+
     // Queues an item, or says why it is refused.
     std::optional<reason> offer(const gate_item& item, monotonic_time now);
 
--- a/include/limpetpier/state/operator_document.h
+++ b/include/limpetpier/state/operator_document.h
@@ -3,6 +3,7 @@
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,7 @@
     // Derived from the sections.
     std::map<data_centre_id, data_centre_spec> dataCentres;
     std::map<front_id, front_spec> fronts;
+    std::set<searcher_id> takingWork; // neither leaving nor in a data centre that is out
 
     [[nodiscard]] bool isIn(const data_centre_id& id) const;
     [[nodiscard]] bool takesNewWork(const searcher_spec& searcher) const;
--- a/programs/dispatch/connection_pool.h
+++ b/programs/dispatch/connection_pool.h
@@ -32,6 +32,9 @@
     // A connection that is not open but counts as taken, for giveBack() after a failure.
     connection_handle makeClosed();
 
+    // Takes effect on connections opened from now on.
+    void changeLimit(std::size_t limit) { m_limit = limit; }
+
     // Closes the idle connections.
     void dropIdle();
 
--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -5,6 +5,7 @@
 
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/events.h"
+#include "limpetpier/transport/program.h"
 #include "limpetpier/transport/settings.h"
 #include "limpetpier/transport/worker_pool.h"
 #include "order_service.h"
@@ -276,10 +277,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return limpetpier::run(argc, argv);
-    } catch (const std::exception& error) {
-        std::cerr << "limpet-dispatch: " << error.what() << "\n";
-        return 2;
-    }
+    return limpetpier::runProgram("limpet-dispatch", limpetpier::run, argc, argv);
 }
--- a/programs/dispatch/search_service.cc
+++ b/programs/dispatch/search_service.cc
@@ -128,10 +128,7 @@
 reason search_service::whyNotSend(const searcher_spec& searcher) const
 {
     const auto document = m_agent.document();
-    const auto front = std::find_if(document->fronts.begin(), document->fronts.end(), [&](const auto& entry) {
-        return std::any_of(entry.second.searchers.begin(), entry.second.searchers.end(), [&](const searcher_spec& other) { return other.id == searcher.id && document->takesNewWork(other); });
-    });
-    if (front == document->fronts.end())
+    if (!document->takingWork.contains(searcher.id))
         return reason::withdrawn;
     if (!m_agent.owns(searcher.id))
         return reason::not_owner;
@@ -159,6 +156,7 @@
                 if (known != m_runtimes.end() && known->second->spec().address == searcher.address) {
                     next[searcher.id] = known->second;
                     changed.push_back(known->second);
+                    known->second->changeLimits(front);
                     const bool takes = document->takesNewWork(searcher);
                     if (takes && !std::exchange(m_takesWork[searcher.id], takes))
                         returned.push_back(known->second);
--- a/programs/dispatch/searcher_runtime.cc
+++ b/programs/dispatch/searcher_runtime.cc
@@ -51,14 +51,12 @@
 
 searcher_runtime::searcher_runtime(asio::any_io_executor executor, const front_spec& front, searcher_spec searcher, std::shared_ptr<front_record> record, std::function<reason()> whyNotSend)
     : m_executor(asio::make_strand(executor))
-    , m_limits(front)
     , m_spec(std::move(searcher))
     , m_record(std::move(record))
     , m_whyNotSend(std::move(whyNotSend))
     , m_gate(front.slots, front.coldAllowance)
     , m_connections(m_executor, parseTcpEndpoint(m_spec.address), front.connections)
 {
-    m_limits.searchers.clear();
     m_report.searcher = m_spec.id;
 }
 
@@ -125,6 +123,15 @@
     });
 }
 
+void searcher_runtime::changeLimits(const front_spec& front)
+{
+    asio::post(m_executor, [self = shared_from_this(), slots = front.slots, coldAllowance = front.coldAllowance, connections = front.connections] {
+        self->m_gate.changeLimits(slots, coldAllowance);
+        self->m_connections.changeLimit(connections);
+        self->pump();
+    });
+}
+
 void searcher_runtime::noteReturned()
 {
     asio::post(m_executor, [self = shared_from_this()] {
@@ -206,6 +213,8 @@
     result.serviceTime = serviceTime;
     if (slot == slot_end::served)
         m_record->record(serviceTime);
+    if (result.why == reason::bad_reply)
+        connection->close(); // out of step: the next answer on it might be this request's
     if (exchanged.stage != exchange_stage::replied && monotonic_clock::now() >= item.deadline) {
         // No byte until the deadline: this connection and those unused for longer may have gone silent.
         logEvent(event::connection_silent, "searcher=" + m_spec.id.value());
--- a/programs/dispatch/searcher_runtime.h
+++ b/programs/dispatch/searcher_runtime.h
@@ -69,6 +69,9 @@
     // Refuses queued jobs when the node may not send any more.
     void refuseQueuedIfBarred();
 
+    // The document states other slots, connections or cold allowance.
+    void changeLimits(const front_spec& front);
+
     // The searcher comes back into service after operators took it out.
     void noteReturned();
 
@@ -118,7 +121,6 @@
     job_result judge(const target_request& request, const exchange_result& exchanged, slot_end& slot);
 
     asio::any_io_executor m_executor; // a strand
-    front_spec m_limits;
     searcher_spec m_spec;
     std::shared_ptr<front_record> m_record;
     std::function<reason()> m_whyNotSend;
--- a/programs/front/main.cc
+++ b/programs/front/main.cc
@@ -7,6 +7,7 @@
 #include "limpetpier/transport/events.h"
 #include "limpetpier/transport/http.h"
 #include "limpetpier/transport/metrics.h"
+#include "limpetpier/transport/program.h"
 #include "limpetpier/transport/settings.h"
 #include "limpetpier/transport/worker_pool.h"
 #include "order_handler.h"
@@ -254,10 +255,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return limpetpier::run(argc, argv);
-    } catch (const std::exception& error) {
-        std::cerr << "limpet-front: " << error.what() << "\n";
-        return 2;
-    }
+    return limpetpier::runProgram("limpet-front", limpetpier::run, argc, argv);
 }
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "limpetpier/state/errors.h"
+#include "limpetpier/transport/program.h"
 #include "limpetpier/transport/settings.h"
 #include "load_generator.h"
 
@@ -83,10 +84,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return limpetpier::run(argc, argv);
-    } catch (const std::exception& error) {
-        std::cerr << "limpet-load: " << error.what() << "\n";
-        return 2;
-    }
+    return limpetpier::runProgram("limpet-load", limpetpier::run, argc, argv);
 }
--- a/programs/verify/main.cc
+++ b/programs/verify/main.cc
@@ -3,6 +3,7 @@
 
 #include "history_checker.h"
 #include "limpetpier/state/errors.h"
+#include "limpetpier/transport/program.h"
 #include "limpetpier/transport/settings.h"
 
 namespace limpetpier {
@@ -50,10 +51,5 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        return limpetpier::run(argc, argv);
-    } catch (const std::exception& error) {
-        std::cerr << "limpet-verify: " << error.what() << "\n";
-        return 2;
-    }
+    return limpetpier::runProgram("limpet-verify", limpetpier::run, argc, argv);
 }
--- a/src/coordination/cold_ramp.cc
+++ b/src/coordination/cold_ramp.cc
@@ -17,6 +17,13 @@
 {
 }
 
+void cold_ramp::changeLimits(std::uint32_t slots, std::uint32_t coldAllowance)
+{
+    m_slots = slots;
+    m_coldAllowance = std::min(slots, coldAllowance);
+    m_grown = std::min(m_grown, slots);
+}
+
 void cold_ramp::observe(searcher_evidence evidence)
 {
     switch (evidence) {
--- a/src/state/operator_document.cc
+++ b/src/state/operator_document.cc
@@ -237,6 +237,7 @@
 {
     document.dataCentres.clear();
     document.fronts.clear();
+    document.takingWork.clear();
     for (const auto& [name, section] : document.sections) {
         if (name == dataCentresSection) {
             readDataCentres(document, section.body);
@@ -248,6 +249,12 @@
         document.fronts[front.id] = std::move(front);
     }
     checkReferences(document);
+    for (const auto& [id, front] : document.fronts) {
+        for (const auto& searcher : front.searchers) {
+            if (document.takesNewWork(searcher))
+                document.takingWork.insert(searcher.id);
+        }
+    }
 }
 
 operator_document parseDocument(const std::string& text)
--- a/test/operator_document_test.cc
+++ b/test/operator_document_test.cc
@@ -52,6 +52,8 @@
         const auto after = applyEdit(next, edit("4", "front.comptoir", 1, comptoir));
         REQUIRE(after.revision == revision_number { 4 });
         REQUIRE_FALSE(after.isIn(data_centre_id { "qc-laval" }));
+        REQUIRE(document.takingWork.contains(searcher_id { "a" }));
+        REQUIRE(after.takingWork.empty());
     }
 
     SECTION("a change of the same section is a conflict")
--- a/test/searcher_gate_test.cc
+++ b/test/searcher_gate_test.cc
@@ -64,6 +64,17 @@
         REQUIRE_FALSE(gate.startNext(start).has_value());
     }
 
+    SECTION("takes over changed slots while it runs")
+    {
+        gate.changeLimits(3, 1);
+        REQUIRE(gate.allowance() == 3);
+        gate.changeLimits(1, 1);
+        gate.offer(item(1), start);
+        gate.offer(item(2), start);
+        REQUIRE(gate.startNext(start).has_value());
+        REQUIRE_FALSE(gate.startNext(start).has_value());
+    }
+
     SECTION("serves hedges before first tries, and urgent classes before others")
     {
         gate.offer(item(1, milliseconds(1000), false, 5), start);
