--- a/include/limpetpier/coordination/fan_out_plan.h
+++ b/include/limpetpier/coordination/fan_out_plan.h
@@ -103,9 +103,6 @@
     // True when no replica of some piece holds the pinned snapshot any more.
     [[nodiscard]] bool snapshotLost() const { return m_snapshotLost; }
 
-    // True when pieces were lost because searchers had no room.
-    [[nodiscard]] bool metOverload() const { return m_metOverload; }
-
     [[nodiscard]] coverage_label coverage() const;
     [[nodiscard]] snapshot_id snapshot() const { return m_pinned.snapshot; }
     [[nodiscard]] std::size_t hedgesSent() const { return m_hedgesSent; }
@@ -146,7 +143,6 @@
     std::size_t m_sent = 0;
     std::size_t m_hedgesSent = 0;
     bool m_snapshotLost = false;
-    bool m_metOverload = false;
 };
 
 } // namespace limpetpier
--- a/programs/dispatch/search_service.cc
+++ b/programs/dispatch/search_service.cc
@@ -206,7 +206,7 @@
 {
     const auto document = m_agent.document();
     const auto all = runtimes();
-    return std::all_of(all.begin(), all.end(), [&](const auto& runtime) { return runtime->hasBeenAsked() || !document->takesNewWork(runtime->spec()); });
+    return std::all_of(all.begin(), all.end(), [&](const auto& runtime) { return runtime->hasBeenAsked() || !document->takingWork.contains(runtime->spec().id); });
 }
 
 std::size_t search_service::openJobs() const
--- a/programs/dispatch/searcher_runtime.cc
+++ b/programs/dispatch/searcher_runtime.cc
@@ -165,7 +165,6 @@
     for (const auto token : m_gate.takeExpired(now))
         end(token, notRun(reason::deadline_passed));
     while (const auto item = m_gate.startNext(now)) {
-        m_jobs.at(item->token).running = true;
         asio::co_spawn(m_executor, run(*item, shared_from_this()), asio::detached);
     }
     publish();
--- a/programs/dispatch/searcher_runtime.h
+++ b/programs/dispatch/searcher_runtime.h
@@ -94,7 +94,6 @@
         }
 
         searcher_job job;
-        bool running = false;
         bool cancelRequested = false;
         bool onSilentConnection = false; // the search may be sent again on another connection
         std::shared_ptr<http_connection> connection;
--- a/src/coordination/fan_out_plan.cc
+++ b/src/coordination/fan_out_plan.cc
@@ -13,11 +13,6 @@
 // Pause before a replica is asked for the second time, so that an epoch change or a restart can settle.
 constexpr microseconds secondRoundDelay { 15'000 };
 
-bool isOverload(reason why)
-{
-    return why == reason::queue_full || why == reason::deadline_passed || why == reason::target_shed;
-}
-
 // A try that reached no target and waited for none costs nothing to repeat.
 bool isFree(const sub_result& result)
 {
@@ -74,7 +69,6 @@
     }
     attempt.versionGone = result.why == reason::version_gone;
     state.lastReason = result.result == outcome::answered ? reason::bad_reply : result.why;
-    m_metOverload = m_metOverload || isOverload(state.lastReason);
     return failOver(ref.piece, isFree(result));
 }
 
