--- /dev/null
+++ b/include/limpetpier/coordination/gather_policy.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+
+#include "limpetpier/state/clock.h"
+
+namespace limpetpier {
+
+// Parts of a query by what became of them; the rest is still open.
+struct gather_progress {
+    std::size_t done = 0;
+    std::size_t failed = 0;
+};
+
+// Decides when a query over many shards is answered with the parts that are in.
+//
+// An answer earns by the square of the share of parts in it, and next to nothing once it is late. So all parts are waited
+// for until the objective is nearly over; from then on the least coverage is enough.
+class gather_policy {
+public:
+    // leastCoverage: share of the parts that an answer must hold; objective: from the client's first byte to its answer.
+    gather_policy(std::size_t parts, double leastCoverage, monotonic_time arrived, milliseconds objective);
+
+    [[nodiscard]] bool shouldAnswer(const gather_progress& progress, monotonic_time now) const;
+
+    // Too many parts failed for the least coverage.
+    [[nodiscard]] bool cannotSucceed(const gather_progress& progress) const;
+
+    // When the decision may change without a part coming in.
+    [[nodiscard]] monotonic_time nextDecision(monotonic_time now) const;
+
+    [[nodiscard]] std::size_t leastParts() const { return m_least; }
+
+    // Kept for the ways to and from the client and for building the answer.
+    static constexpr milliseconds answerMargin { 9 };
+
+private:
+    std::size_t m_parts;
+    std::size_t m_least;
+    monotonic_time m_answerAt;
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/include/limpetpier/coordination/member_share.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "limpetpier/state/routing_table.h"
+
+namespace limpetpier {
+
+// This process's part of bounds that count over all processes of the deployment.
+//
+// All processes read the same member list from the store and rank themselves by the same hash, so their parts add up to
+// the bound without messages between them.
+class member_share {
+public:
+    // members are the names of all live processes, this one among them or not yet.
+    member_share(node_id self, std::vector<node_id> members);
+
+    // Members to divide by; never less than leastMembers, so that a short list cannot inflate a share.
+    [[nodiscard]] std::size_t members() const { return m_count; }
+
+    // Position of this process among the members, in an order that differs from one subject to the next.
+    [[nodiscard]] std::size_t rank(const std::string& subject) const;
+
+    // Connections that this process may hold to one searcher of a service. Below one connection each, the members
+    // take turns: each leaves out some of a service's searchers, evenly.
+    [[nodiscard]] std::uint32_t connections(const service_id& service, std::size_t searcherIndex, std::size_t searchers, std::uint32_t bound) const;
+
+    // Requests that this process may send to one cold searcher in any second.
+    [[nodiscard]] std::uint32_t coldRequests(const searcher_id& searcher, double boundPerSecond) const;
+
+    // Extra requests of a fixed slack that this process may send in a window.
+    [[nodiscard]] double slack(double bound) const { return bound * countMargin / static_cast<double>(m_count); }
+
+    // Part of a bound that is used: the rest covers members that are not yet on everyone's list.
+    static constexpr double countMargin = 0.8;
+
+private:
+    node_id m_self;
+    std::vector<node_id> m_members;
+    std::size_t m_count;
+};
+
+} // namespace limpetpier
--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -36,6 +36,14 @@
     searcher_warm = 501,
     connection_silent = 502,
     searcher_draining = 503,
+    searcher_doubted = 504,
+    members_changed = 208,
+    table_adopted = 310,
+    table_unreadable = 311,
+    evacuation_changed = 312,
+    entry_unreadable = 313,
+    store_answer_unreadable = 314,
+    request_ended = 600,
 };
 
 struct event_entry {
--- /dev/null
+++ b/include/limpetpier/transport/store_follower.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "limpetpier/transport/metadata_store.h"
+
+namespace limpetpier {
+
+// How one prefix of the store is followed.
+struct follow_policy {
+    milliseconds wait { 2000 }; // longest wait of one watch
+    milliseconds pause { 0 }; // from an answer to the next watch: changes of that time come in one call
+};
+
+// Keeps a copy of the keys with one prefix up to date: reads them all, then watches, and reads anew when the history is
+// gone. The reader keeps what it has while the store is away.
+class store_follower {
+public:
+    struct handlers {
+        // All keys as of a read; afterOutage tells that calls had failed since the last answer.
+        std::function<void(const std::vector<store_item>&, bool afterOutage)> replaced;
+        std::function<void(const store_item&, bool afterOutage)> changed;
+        // The store stopped or began again to answer.
+        std::function<void(bool reachable)> reachable;
+    };
+
+    store_follower(const boost::asio::any_io_executor& executor, metadata_store& store, std::string prefix, follow_policy policy, handlers handle);
+
+    void start();
+
+    [[nodiscard]] bool hasRead() const { return m_hasRead; }
+    [[nodiscard]] bool isReachable() const { return m_reachable; }
+    [[nodiscard]] monotonic_time lastAnswer() const { return m_lastAnswer; }
+
+    // Pause after a failed call; doubled each time up to the longest.
+    static constexpr milliseconds firstRetry { 100 };
+    static constexpr milliseconds longestRetry { 800 };
+
+    // For this long after the store's return, removals count as lapses of the outage.
+    static constexpr milliseconds outageEcho { 2500 };
+
+private:
+    void load(const std::string& after);
+    void handlePage(store_result result, store_page page);
+    void watch();
+    void handleChanges(store_result result, const store_page& page);
+    void fail();
+    void succeed();
+    void later(milliseconds delay, void (store_follower::*step)());
+    void reload();
+    [[nodiscard]] bool isAfterOutage() const;
+
+    metadata_store& m_store;
+    boost::asio::steady_timer m_timer;
+    std::string m_prefix;
+    follow_policy m_policy;
+    handlers m_handle;
+    std::vector<store_item> m_loading;
+    store_revision m_at;
+    bool m_hasRead = false;
+    bool m_current = false; // the next step is a watch, not a read
+    bool m_reachable = true;
+    milliseconds m_retry = firstRetry;
+    monotonic_time m_lastAnswer {};
+    monotonic_time m_outageEnd {};
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/gateway.cc
@@ -0,0 +1,262 @@
+#include "gateway.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include "limpetpier/state/errors.h"
+#include "limpetpier/transport/endpoints.h"
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnavailable = 503;
+
+constexpr milliseconds maintenanceInterval { 50 };
+
+// The operator's keys change seldom and must be known at once. A watch that went silent ends with its wait.
+constexpr follow_policy operatorPolicy { milliseconds(2000), milliseconds(0) };
+
+// Searchers' entries change often; changes of this pause come in one call.
+constexpr follow_policy searcherPolicy { milliseconds(2000), milliseconds(400) };
+
+// A client that came before there is a configuration should come back after this.
+constexpr milliseconds retryWhileStarting { 300 };
+
+// Readiness checks that must have been answered with 503 before the balancer has taken this process out.
+constexpr std::uint32_t checksUntilOut = 2;
+
+// Time that is kept before the forced end, to close down in order.
+constexpr milliseconds stopReserve { 1000 };
+
+// From the last readiness check needed to the end of new requests: connections on their way still come.
+constexpr milliseconds lateArrivals { 400 };
+constexpr milliseconds stopPoll { 20 };
+
+} // namespace
+
+gateway::gateway(asio::io_context& io, const gateway_protocol& protocol, metadata_store& store, gateway_settings settings)
+    : m_io(io)
+    , m_protocol(protocol)
+    , m_settings(std::move(settings))
+    , m_share(m_settings.node, {})
+    , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
+    , m_context { io.get_executor(), protocol, m_fleet, [this](const run_report& ended) { report(ended); }, 0 }
+    , m_operatorKeys(io.get_executor(), store, protocol.operatorPrefix(), operatorPolicy,
+          { [this](const std::vector<store_item>& items, bool) { replaceOperator(items); }, [this](const store_item& item, bool) { applyOperator(item); },
+              [](bool reachable) { logEvent(reachable ? event::store_up : event::store_down, "keys=operator"); } })
+    , m_searcherKeys(io.get_executor(), store, protocol.searcherPrefix(), searcherPolicy,
+          { [this](const std::vector<store_item>& items, bool afterOutage) { replaceSearchers(items, afterOutage); },
+              [this](const store_item& item, bool afterOutage) { applySearcher(item, afterOutage); },
+              [](bool reachable) { logEvent(reachable ? event::store_up : event::store_down, "keys=searchers"); } })
+    , m_membership(io.get_executor(), store, m_settings.node, m_settings.peerAddress, m_settings.memberLife,
+          [this](const std::vector<node_id>& members) {
+              m_share = member_share(m_settings.node, members);
+              logEvent(event::members_changed, "members=" + std::to_string(m_share.members()));
+              m_fleetChanged = true;
+          })
+    , m_clients(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
+    , m_readiness(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
+    , m_maintenance(io)
+    , m_stopTimer(io)
+    , m_signals(io, SIGTERM, SIGINT)
+{
+}
+
+void gateway::start()
+{
+    m_operatorKeys.start();
+    m_searcherKeys.start();
+    m_membership.start();
+    maintain();
+    m_signals.async_wait([this](const boost::system::error_code& error, int) {
+        if (!error)
+            beginStop();
+    });
+}
+
+void gateway::handleRequest(http_request message, client_call call)
+{
+    auto request = std::make_shared<client_request>(m_protocol.decodeRequest(std::move(message)));
+    if (!m_table)
+        call.answer(m_protocol.encodeFailure(statusUnavailable, "no configuration yet; come back in a moment", retryWhileStarting));
+    else if (request->id.empty() || request->host.empty())
+        call.answer(m_protocol.encodeFailure(statusBadRequest, "request without an id or host", {}));
+    else
+        route(std::move(request), std::move(call));
+}
+
+void gateway::route(std::shared_ptr<client_request> request, client_call call)
+{
+    const auto* rule = m_table->find(request->host, request->message.target);
+    if (rule == nullptr) {
+        call.answer(m_protocol.encodeFailure(statusNotFound, "no route for this host and path", {}));
+        return;
+    }
+    const auto now = monotonic_clock::now();
+    const auto timeLeft = std::min(rule->timeout, request->timeLeft.value_or(rule->timeout));
+    run_request run { std::move(request), m_table, rule, &m_records[rule->name], now, now + timeLeft, std::move(call) };
+    if (rule->isQuery())
+        startGatherRun(m_context, std::move(run));
+    else
+        startSingleRun(m_context, std::move(run), m_splits[rule->name].next(*rule));
+}
+
+void gateway::handleReady(client_call call)
+{
+    const bool ready = !m_stopping && m_table && m_searcherKeys.hasRead();
+    if (m_stopping)
+        ++m_unreadyAnswers;
+    http_reply reply;
+    reply.status = ready ? 200 : statusUnavailable;
+    reply.body = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
+    call.answer(std::move(reply));
+}
+
+void gateway::report(const run_report& ended)
+{
+    if (ended.outcome == "answered")
+        return;
+    logEvent(event::request_ended,
+        "request=" + ended.requestId + " route=" + ended.route + " outcome=" + ended.outcome + " status=" + std::to_string(ended.status) + " ms=" + std::to_string(ended.elapsed.count())
+            + " sends=" + std::to_string(ended.sends) + " hedges=" + std::to_string(ended.hedges) + " refusals=" + std::to_string(ended.refusals)
+            + " missing=" + std::to_string(ended.missingParts) + " parts=" + std::to_string(ended.parts));
+}
+
+void gateway::replaceOperator(const std::vector<store_item>& items)
+{
+    m_evacuated.clear();
+    for (const auto& item : items)
+        applyOperator(item);
+    m_fleetChanged = true;
+    refreshFleet();
+}
+
+void gateway::applyOperator(const store_item& item)
+{
+    const auto evacuation = m_protocol.evacuationPrefix();
+    if (item.key == m_protocol.tableKey() && !item.removed) {
+        adoptTable(item.value);
+    } else if (item.key.starts_with(evacuation)) {
+        const data_centre_id zone(item.key.substr(evacuation.size()));
+        if (item.removed)
+            m_evacuated.erase(zone);
+        else
+            m_evacuated.insert(zone);
+        logEvent(event::evacuation_changed, "zone=" + zone.value() + " empty=" + (item.removed ? "no" : "yes"));
+    }
+    m_fleetChanged = true;
+    refreshFleet();
+}
+
+void gateway::adoptTable(const std::string& text)
+{
+    try {
+        auto table = std::make_shared<const routing_table>(m_protocol.decodeTable(text));
+        if (m_table && table->version() <= m_table->version())
+            return;
+        logEvent(event::table_adopted, "version=" + std::to_string(table->version().value()) + " routes=" + std::to_string(table->routes().size()));
+        m_table = std::move(table);
+        m_clients.changeLimits(m_table->limits());
+    } catch (const std::exception& error) {
+        logEvent(event::table_unreadable, std::string("error=\"") + error.what() + "\"");
+    }
+}
+
+std::optional<searcher_entry> gateway::readSearcher(const store_item& item) const
+{
+    try {
+        auto entry = m_protocol.decodeSearcher(item.key, item.value);
+        static_cast<void>(parseTcpEndpoint(entry.address));
+        return entry;
+    } catch (const std::exception& error) {
+        logEvent(event::entry_unreadable, "key=" + item.key + " error=\"" + error.what() + "\"");
+        return {};
+    }
+}
+
+void gateway::applySearcher(const store_item& item, bool afterOutage)
+{
+    const auto now = monotonic_clock::now();
+    std::optional<searcher_entry> entry;
+    if (!item.removed)
+        entry = readSearcher(item);
+    if (entry)
+        m_fleetChanged = m_directory.put(*entry, now) || m_fleetChanged;
+    else {
+        m_directory.remove(searcher_id(item.key.substr(m_protocol.searcherPrefix().size())), now, afterOutage);
+        m_fleetChanged = true;
+    }
+}
+
+void gateway::replaceSearchers(const std::vector<store_item>& items, bool afterOutage)
+{
+    std::vector<searcher_entry> entries;
+    for (const auto& item : items) {
+        if (auto entry = readSearcher(item))
+            entries.push_back(std::move(*entry));
+    }
+    m_directory.replaceAll(entries, monotonic_clock::now(), afterOutage);
+    m_fleetChanged = true;
+    refreshFleet();
+}
+
+void gateway::refreshFleet()
+{
+    if (!m_fleetChanged || !m_table)
+        return;
+    m_fleetChanged = false;
+    m_fleet.update(m_directory, *m_table, m_share, m_evacuated);
+}
+
+void gateway::maintain()
+{
+    const auto now = monotonic_clock::now();
+    m_fleetChanged = m_directory.expire(now) || m_fleetChanged;
+    refreshFleet();
+    m_fleet.maintain(now);
+    m_maintenance.expires_after(maintenanceInterval);
+    m_maintenance.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            maintain();
+    });
+}
+
+void gateway::beginStop()
+{
+    logEvent(event::stopping, "running=" + std::to_string(m_context.running));
+    m_stopping = true;
+    m_stopBegan = monotonic_clock::now();
+    m_clients.announceClose();
+    m_membership.leave();
+    continueStop();
+}
+
+// Serves on until the balancer has taken this process out, then closes what is idle, finishes what runs, and ends.
+void gateway::continueStop()
+{
+    const auto now = monotonic_clock::now();
+    const auto last = m_stopBegan + m_settings.stopGrace - stopReserve;
+    const bool out = m_unreadyAnswers >= checksUntilOut || now >= last - 2 * lateArrivals;
+    if (m_draining && now >= m_drainedAt && (m_context.running == 0 || now >= last)) {
+        logEvent(event::stopped, "running=" + std::to_string(m_context.running));
+        m_io.stop();
+        return;
+    }
+    if (out && !m_draining) {
+        m_draining = true;
+        m_drainedAt = now + lateArrivals;
+    }
+    if (m_draining && now >= m_drainedAt - lateArrivals / 2)
+        m_clients.drain();
+    m_stopTimer.expires_after(stopPoll);
+    m_stopTimer.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            continueStop();
+    });
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/gateway.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+#include <map>
+#include <memory>
+
+#include "limpetpier/coordination/traffic_split.h"
+#include "membership.h"
+#include "request_run.h"
+
+namespace limpetpier {
+
+// Addresses and bounds of a gateway process.
+struct gateway_settings {
+    node_id node;
+    data_centre_id zone;
+    std::string clientAddress; // IP:port
+    std::string readyAddress; // IP:port
+    std::string peerAddress; // IP:port
+    shared_bounds bounds;
+    milliseconds stopGrace { 6000 }; // from the signal to the forced end
+    milliseconds memberLife { 6000 }; // time to live of the entry in the member list
+};
+
+// Answers clients by asking the searchers of the deployment. One thread.
+class gateway {
+public:
+    gateway(asio::io_context& io, const gateway_protocol& protocol, metadata_store& store, gateway_settings settings);
+
+    void start();
+
+private:
+    void handleRequest(http_request message, client_call call);
+    void route(std::shared_ptr<client_request> request, client_call call);
+    void handleReady(client_call call);
+    void report(const run_report& report);
+
+    void applyOperator(const store_item& item);
+    void replaceOperator(const std::vector<store_item>& items);
+    void adoptTable(const std::string& text);
+    void applySearcher(const store_item& item, bool afterOutage);
+    void replaceSearchers(const std::vector<store_item>& items, bool afterOutage);
+    std::optional<searcher_entry> readSearcher(const store_item& item) const;
+    void refreshFleet();
+
+    void maintain();
+    void beginStop();
+    void continueStop();
+
+    asio::io_context& m_io;
+    const gateway_protocol& m_protocol;
+    gateway_settings m_settings;
+    std::shared_ptr<const routing_table> m_table;
+    searcher_directory m_directory;
+    std::set<data_centre_id> m_evacuated;
+    member_share m_share;
+    searcher_fleet m_fleet;
+    run_context m_context;
+    std::map<std::string, route_record> m_records; // by route name
+    std::map<std::string, traffic_split> m_splits; // by route name
+    store_follower m_operatorKeys;
+    store_follower m_searcherKeys;
+    membership m_membership;
+    client_listener m_clients;
+    client_listener m_readiness;
+    asio::steady_timer m_maintenance;
+    asio::steady_timer m_stopTimer;
+    asio::signal_set m_signals;
+    bool m_fleetChanged = false;
+    bool m_stopping = false;
+    bool m_draining = false; // the balancer has taken this process out
+    monotonic_time m_drainedAt {}; // no new request is expected after this
+    std::uint32_t m_unreadyAnswers = 0; // readiness checks answered since the stop began
+    monotonic_time m_stopBegan {};
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/membership.cc
@@ -0,0 +1,115 @@
+#include "membership.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr const char* memberKeys = "limpetpier/members/";
+
+// Renewals in one time to live: two may be lost.
+constexpr int renewalsPerLife = 3;
+constexpr milliseconds retryDelay { 700 };
+
+// Members come and go seldom, and a late change costs little.
+constexpr follow_policy memberPolicy { milliseconds(20'000), milliseconds(500) };
+
+} // namespace
+
+membership::membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, milliseconds timeToLive, change_handler onChange)
+    : m_store(store)
+    , m_follower(executor, store, memberKeys, memberPolicy,
+          { [this](const std::vector<store_item>& items, bool) { replace(items); }, [this](const store_item& item, bool) { change(item); }, [](bool) {} })
+    , m_timer(executor)
+    , m_self(std::move(self))
+    , m_peerAddress(std::move(peerAddress))
+    , m_timeToLive(timeToLive)
+    , m_onChange(std::move(onChange))
+{
+}
+
+void membership::start()
+{
+    m_follower.start();
+    acquire();
+}
+
+void membership::leave()
+{
+    m_leaving = true;
+    m_timer.cancel();
+    if (m_lease != lease_id {})
+        m_store.endLease(m_lease);
+}
+
+void membership::acquire()
+{
+    m_lease = {};
+    m_store.grantLease(m_timeToLive, [this](store_result result, lease_id lease) {
+        if (m_leaving)
+            return;
+        if (result == store_result::ok)
+            announce(lease);
+        else
+            later(retryDelay, &membership::acquire);
+    });
+}
+
+void membership::announce(lease_id lease)
+{
+    m_store.write(memberKeys + m_self.value(), m_peerAddress, lease, [this, lease](store_result result) {
+        if (m_leaving)
+            return;
+        if (result != store_result::ok) {
+            later(retryDelay, &membership::acquire);
+            return;
+        }
+        m_lease = lease;
+        later(m_timeToLive / renewalsPerLife, &membership::renew);
+    });
+}
+
+void membership::renew()
+{
+    m_store.renewLease(m_lease, [this](store_result result) {
+        if (m_leaving)
+            return;
+        if (result == store_result::no_lease)
+            acquire();
+        else
+            later(result == store_result::ok ? m_timeToLive / renewalsPerLife : retryDelay, &membership::renew);
+    });
+}
+
+void membership::later(milliseconds delay, void (membership::*step)())
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this, step](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            (this->*step)();
+    });
+}
+
+void membership::replace(const std::vector<store_item>& items)
+{
+    m_members.clear();
+    for (const auto& item : items)
+        m_members[node_id(item.key.substr(std::string_view(memberKeys).size()))] = item.value;
+    change({});
+}
+
+void membership::change(const store_item& item)
+{
+    if (!item.key.empty()) {
+        const node_id node(item.key.substr(std::string_view(memberKeys).size()));
+        if (item.removed)
+            m_members.erase(node);
+        else
+            m_members[node] = item.value;
+    }
+    std::vector<node_id> names;
+    for (const auto& [name, address] : m_members)
+        names.push_back(name);
+    m_onChange(names);
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/request_run.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "limpetpier/coordination/latency_histogram.h"
+#include "limpetpier/transport/client_listener.h"
+#include "searcher_fleet.h"
+
+namespace limpetpier {
+
+// What a route's sends have taken lately.
+struct route_record {
+    latency_histogram replies;
+
+    // Time without a reply after which a send is hedged.
+    [[nodiscard]] microseconds hedgeAfter(const route& route) const;
+
+    // Time of an ordinary reply.
+    [[nodiscard]] microseconds ordinary(const route& route) const;
+};
+
+// How a request ended, for the log and the metrics.
+struct run_report {
+    std::string requestId;
+    std::string route;
+    std::string outcome;
+    unsigned status = 0;
+    milliseconds elapsed { 0 };
+    std::uint32_t sends = 0;
+    std::uint32_t hedges = 0;
+    std::uint32_t refusals = 0; // sends that a searcher did not run
+    std::size_t missingParts = 0;
+    std::size_t parts = 0;
+};
+
+// What the runs of one process share.
+struct run_context {
+    asio::any_io_executor executor;
+    const gateway_protocol& protocol;
+    searcher_fleet& fleet;
+    std::function<void(const run_report&)> report;
+    std::size_t running = 0;
+};
+
+// A request as it enters a run.
+struct run_request {
+    std::shared_ptr<const client_request> client;
+    std::shared_ptr<const routing_table> table; // keeps the route alive
+    const route* rule = nullptr;
+    route_record* record = nullptr;
+    monotonic_time arrived;
+    monotonic_time answerBy; // the client's time or the route's, whichever ends first
+    client_call call;
+};
+
+// Sends a request to one searcher of its service and passes on the answer.
+void startSingleRun(run_context& context, run_request request, const service_id& service);
+
+// Sends a query to one searcher of each shard and merges what comes in.
+void startGatherRun(run_context& context, run_request request);
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/searcher_fleet.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "limpetpier/coordination/member_share.h"
+#include "limpetpier/coordination/retry_allowance.h"
+#include "searcher_pool.h"
+
+namespace limpetpier {
+
+// Bounds that count over all processes of the deployment.
+struct shared_bounds {
+    double retryShare = 0.1; // extra sends for each request to a service
+    double retrySlack = 0; // extra sends in a window besides the share
+    milliseconds retryWindow { 10'000 };
+    double coldFactor = 1; // of a service's cold allowance
+    double coldSlack = 0; // requests a second to a cold searcher besides it
+};
+
+// All searchers that this process may send to, by service.
+class searcher_fleet {
+public:
+    searcher_fleet(asio::any_io_executor executor, const gateway_protocol& protocol, data_centre_id ownZone, shared_bounds bounds);
+
+    // Takes over a change of the directory, the table, the members or the zones to be emptied.
+    void update(const searcher_directory& directory, const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated);
+
+    // Best searcher of a service to send to now; null if there is none. The excluded ones are not considered.
+    searcher_pool* choose(const service_id& service, const std::vector<searcher_id>& excluded, monotonic_time now);
+
+    // True if the service has a searcher besides the excluded ones, usable now or not.
+    [[nodiscard]] bool hasOther(const service_id& service, const std::vector<searcher_id>& excluded) const;
+
+    // Null once the searcher has left the directory.
+    searcher_pool* find(const searcher_id& searcher);
+
+    retry_allowance& allowance(const service_id& service);
+
+    void maintain(monotonic_time now);
+
+    struct totals {
+        std::size_t searchers = 0;
+        std::size_t usable = 0;
+        std::size_t connections = 0;
+    };
+    [[nodiscard]] totals count(monotonic_time now);
+
+private:
+    void drop(const searcher_directory& directory);
+    void changeLimits(const routing_table& table, const member_share& share);
+
+    asio::any_io_executor m_executor;
+    const gateway_protocol& m_protocol;
+    data_centre_id m_ownZone;
+    shared_bounds m_bounds;
+    double m_retrySlack = 0; // this process's part
+    std::map<searcher_id, std::unique_ptr<searcher_pool>> m_pools;
+    std::map<service_id, std::vector<searcher_pool*>> m_services; // by searcher id within a service
+    std::map<service_id, retry_allowance> m_allowances;
+    std::vector<std::unique_ptr<searcher_pool>> m_leaving; // gone from the directory, with calls running
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/searcher_pool.cc
@@ -0,0 +1,347 @@
+#include "searcher_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "limpetpier/transport/endpoints.h"
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr milliseconds connectTimeout { 400 };
+constexpr milliseconds healthTimeout { 1000 };
+constexpr milliseconds firstRetryDelay { 100 };
+constexpr milliseconds longestRetryDelay { 1000 };
+
+// Calls that wait for a connection, for each connection allowed.
+constexpr std::size_t queueFactor = 4;
+
+// A searcher's slowness is forgotten with this time constant, so that it is tried again.
+constexpr milliseconds slownessMemory { 2000 };
+constexpr double slownessGain = 0.3; // weight of the newest reply
+constexpr double largestMultiple = 20;
+
+// Costs, in multiples of an ordinary reply's time.
+constexpr double connectCost = 1;
+constexpr double stalledCost = 8;
+constexpr double runningCost = 0.5; // each call of this process that is running there, a slot
+
+} // namespace
+
+searcher_pool::searcher_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry)
+    : m_executor(std::move(executor))
+    , m_protocol(protocol)
+    , m_entry(std::move(entry))
+    , m_retryDelay(firstRetryDelay)
+{
+}
+
+searcher_pool::~searcher_pool()
+{
+    *m_alive = false;
+    closeAll();
+}
+
+void searcher_pool::update(const searcher_entry& entry, monotonic_time coldUntil)
+{
+    const bool restarted = entry.address != m_entry.address || (entry.born != 0 && m_entry.born != 0 && entry.born != m_entry.born);
+    m_entry = entry;
+    m_coldUntil = coldUntil;
+    if (restarted) {
+        closeIdle();
+        m_verified = true; // the new entry says how cold it is
+        m_retryAt = {};
+    }
+    if (m_entry.draining)
+        closeIdle();
+}
+
+void searcher_pool::changeLimits(std::uint32_t connections, std::uint32_t coldRequestsPerSecond, std::string healthPath)
+{
+    m_connectionLimit = connections;
+    m_cold.changeLimit(coldRequestsPerSecond);
+    m_healthPath = std::move(healthPath);
+}
+
+void searcher_pool::setEvacuated(bool evacuated)
+{
+    if (m_evacuated && !evacuated)
+        handleBreak(); // it may be cold: asked before it is used again
+    m_evacuated = evacuated;
+}
+
+bool searcher_pool::isUsable(monotonic_time now)
+{
+    if (m_entry.draining || m_evacuated || !m_verified || m_connectionLimit == 0)
+        return false;
+    if (now < m_coldUntil && !m_cold.allows(now))
+        return false;
+    if (idleSlot(now))
+        return true;
+    return now >= m_retryAt && m_queue.size() < m_connectionLimit * queueFactor && (m_slots.size() < m_connectionLimit || connecting() > m_queue.size());
+}
+
+double searcher_pool::cost(monotonic_time now) const
+{
+    const double age = std::chrono::duration<double>(now - m_slownessAt) / std::chrono::duration<double>(slownessMemory);
+    double result = 1 + (m_slowness - 1) * std::exp(-age);
+    bool idle = false;
+    for (const auto& slot : m_slots) {
+        idle = idle || slot->channel->isIdle();
+        if (!slot->call)
+            continue;
+        result += runningCost / m_entry.slots;
+        if (now > slot->call->lateAt)
+            result += stalledCost;
+    }
+    return result + (idle ? 0 : connectCost) + static_cast<double>(m_queue.size()) * runningCost;
+}
+
+std::size_t searcher_pool::runningCalls() const
+{
+    return static_cast<std::size_t>(std::count_if(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->call != nullptr; }));
+}
+
+std::size_t searcher_pool::connecting() const
+{
+    return static_cast<std::size_t>(std::count_if(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isConnecting(); }));
+}
+
+searcher_pool::slot_handle searcher_pool::idleSlot(monotonic_time now)
+{
+    // The most recently used first: the others may then be closed by their idle limit.
+    for (auto slot = m_slots.rbegin(); slot != m_slots.rend(); ++slot) {
+        if ((*slot)->channel->isIdle() && (*slot)->channel->usableUntil() > now && !(*slot)->verifying)
+            return *slot;
+    }
+    return nullptr;
+}
+
+void searcher_pool::send(const call_handle& call)
+{
+    m_queue.push_back(call);
+    pump();
+    if (!call->written && connecting() < m_queue.size() && m_slots.size() < m_connectionLimit)
+        openSlot();
+}
+
+void searcher_pool::pump()
+{
+    const auto now = monotonic_clock::now();
+    while (!m_queue.empty()) {
+        if (m_queue.front()->finished) {
+            m_queue.pop_front();
+            continue;
+        }
+        // Checked again right before the write: the searcher may have begun to drain while the call waited.
+        if (m_entry.draining || m_evacuated || !m_verified) {
+            failQueue();
+            return;
+        }
+        const auto idle = idleSlot(now);
+        if (!idle)
+            return;
+        auto call = std::move(m_queue.front());
+        m_queue.pop_front();
+        write(idle, call);
+    }
+}
+
+void searcher_pool::write(const slot_handle& idle, const call_handle& call)
+{
+    const auto now = monotonic_clock::now();
+    if (now < m_coldUntil) {
+        if (!m_cold.allows(now)) {
+            call->finished = true;
+            call->onResult({});
+            return;
+        }
+        m_cold.record(now);
+    }
+    call->written = true;
+    call->writtenAt = now;
+    idle->call = call;
+    const auto left = std::chrono::duration_cast<milliseconds>(call->answerBy - now);
+    const auto request = call->request;
+    idle->channel->exchange(
+        m_protocol.encodeCall(*request, m_entry.id, left), request->message.method == "HEAD",
+        [this, alive = m_alive, request](const http_reply& reply) { return !*alive || m_protocol.isReplyTo(*request, reply); },
+        [this, alive = m_alive, idle, call](exchange_result result) {
+            if (*alive)
+                handleReply(idle, call, std::move(result));
+        });
+}
+
+void searcher_pool::handleReply(const slot_handle& used, const call_handle& call, exchange_result result)
+{
+    used->call.reset();
+    used->closeAt.reset();
+    if (!used->channel->isOpen())
+        drop(used);
+    else if (used != m_slots.back()) // most recently used last
+        std::rotate(std::find(m_slots.begin(), m_slots.end(), used), std::find(m_slots.begin(), m_slots.end(), used) + 1, m_slots.end());
+    if (result.stage != exchange_stage::replied)
+        handleBreak();
+    const bool wanted = !std::exchange(call->finished, true);
+    call_result outcome;
+    outcome.stage = result.stage;
+    outcome.elapsed = std::chrono::duration_cast<microseconds>(monotonic_clock::now() - call->writtenAt);
+    if (result.stage == exchange_stage::replied)
+        outcome.reply = m_protocol.decodeReply(std::move(result.reply));
+    if (outcome.stage == exchange_stage::replied && outcome.reply.kind == reply_kind::misdirected)
+        handleBreak();
+    pump();
+    if (wanted)
+        call->onResult(std::move(outcome));
+}
+
+void searcher_pool::cancel(const call_handle& call, milliseconds linger)
+{
+    if (std::exchange(call->finished, true))
+        return;
+    std::erase(m_queue, call);
+    for (const auto& slot : m_slots) {
+        if (slot->call == call)
+            slot->closeAt = monotonic_clock::now() + linger;
+    }
+}
+
+void searcher_pool::openSlot()
+{
+    auto opened = std::make_shared<slot>();
+    opened->channel = http_channel::create(m_executor, parseTcpEndpoint(m_entry.address));
+    opened->verifying = !m_verified;
+    m_slots.insert(m_slots.begin(), opened);
+    opened->channel->onClosed([this, alive = m_alive, weak = std::weak_ptr(opened)] {
+        const auto closed = weak.lock();
+        if (*alive && closed)
+            drop(closed);
+    });
+    opened->channel->open(connectTimeout, [this, alive = m_alive, opened](bool success) {
+        if (*alive)
+            handleOpened(opened, success);
+    });
+}
+
+void searcher_pool::handleOpened(const slot_handle& opened, bool success)
+{
+    if (!success) {
+        drop(opened);
+        handleBreak();
+        failQueue();
+        return;
+    }
+    if (!m_verified)
+        verify(opened);
+    else
+        pump();
+}
+
+void searcher_pool::verify(const slot_handle& opened)
+{
+    opened->verifying = true;
+    opened->closeAt = monotonic_clock::now() + healthTimeout;
+    opened->channel->exchange(m_protocol.encodeHealthCheck(m_healthPath), false, {}, [this, alive = m_alive, opened](const exchange_result& result) {
+        if (*alive)
+            handleHealth(opened, result);
+    });
+}
+
+void searcher_pool::handleHealth(const slot_handle& opened, const exchange_result& result)
+{
+    opened->verifying = false;
+    opened->closeAt.reset();
+    if (!opened->channel->isOpen())
+        drop(opened);
+    if (result.stage != exchange_stage::replied) {
+        handleBreak();
+        return;
+    }
+    const auto report = m_protocol.decodeHealth(result.reply);
+    if (report.searcher != m_entry.id) {
+        handleBreak();
+        return;
+    }
+    m_verified = true;
+    m_retryDelay = firstRetryDelay;
+    m_retryAt = {};
+    m_coldUntil = std::max(m_coldUntil, monotonic_clock::now() + report.coldLeft);
+    pump();
+}
+
+void searcher_pool::handleBreak()
+{
+    if (m_verified)
+        logEvent(event::searcher_doubted, "searcher=" + m_entry.id.value() + " service=" + m_entry.service.value());
+    m_verified = false;
+    m_retryAt = monotonic_clock::now() + m_retryDelay;
+    m_retryDelay = std::min(longestRetryDelay, m_retryDelay * 2);
+    closeIdle();
+    failQueue();
+}
+
+void searcher_pool::failQueue()
+{
+    for (const auto& call : std::exchange(m_queue, {})) {
+        if (!std::exchange(call->finished, true))
+            call->onResult({});
+    }
+}
+
+void searcher_pool::closeIdle()
+{
+    std::erase_if(m_slots, [](const slot_handle& slot) {
+        if (!slot->channel->isIdle())
+            return false;
+        slot->channel->close();
+        return true;
+    });
+}
+
+void searcher_pool::closeAll()
+{
+    for (const auto& slot : std::exchange(m_slots, {}))
+        slot->channel->close();
+}
+
+void searcher_pool::drop(const slot_handle& gone)
+{
+    gone->channel->close();
+    std::erase(m_slots, gone);
+    // With no connection left it may have been restarted: asked before it is used again.
+    if (m_slots.empty() && m_verified && !m_entry.draining) {
+        m_verified = false;
+        m_retryAt = std::max(m_retryAt, monotonic_clock::now() + firstRetryDelay);
+    }
+}
+
+void searcher_pool::recordSlowness(double multiple, monotonic_time now)
+{
+    const double age = std::chrono::duration<double>(now - m_slownessAt) / std::chrono::duration<double>(slownessMemory);
+    const double known = 1 + (m_slowness - 1) * std::exp(-age);
+    m_slowness = known + slownessGain * (std::min(multiple, largestMultiple) - known);
+    m_slownessAt = now;
+}
+
+void searcher_pool::maintain(monotonic_time now)
+{
+    const auto slots = m_slots;
+    for (const auto& slot : slots) {
+        if (slot->closeAt && now >= *slot->closeAt) {
+            const bool checking = slot->verifying;
+            slot->channel->close();
+            std::erase(m_slots, slot);
+            if (checking)
+                handleBreak();
+        } else if (slot->channel->isIdle() && slot->channel->usableUntil() <= now) {
+            slot->channel->close();
+            std::erase(m_slots, slot);
+        }
+    }
+    if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt)
+        openSlot();
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/searcher_pool.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+#include "limpetpier/coordination/cold_allowance.h"
+#include "limpetpier/transport/http_channel.h"
+#include "searcher_call.h"
+
+namespace limpetpier {
+
+// Connections and running calls of one searcher.
+class searcher_pool {
+public:
+    searcher_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry);
+    ~searcher_pool();
+    searcher_pool(const searcher_pool&) = delete;
+    searcher_pool& operator=(const searcher_pool&) = delete;
+
+    // Takes over what the platform's list says now. A new start or address ends the old connections.
+    void update(const searcher_entry& entry, monotonic_time coldUntil);
+    void changeLimits(std::uint32_t connections, std::uint32_t coldRequestsPerSecond, std::string healthPath);
+    void setEvacuated(bool evacuated);
+
+    [[nodiscard]] const searcher_entry& entry() const { return m_entry; }
+
+    // True if a request may be sent now.
+    [[nodiscard]] bool isUsable(monotonic_time now);
+
+    // Expected cost of sending here, in multiples of an ordinary reply's time; smaller is better.
+    [[nodiscard]] double cost(monotonic_time now) const;
+
+    // Sends once a connection is there; the result comes to the call's handler.
+    void send(const call_handle& call);
+
+    // Ends interest in a call. One not yet written is not sent; a running one may finish within the linger, then its
+    // connection is closed, so that the searcher drops it.
+    void cancel(const call_handle& call, milliseconds linger);
+
+    // Records a reply's time in multiples of the ordinary one.
+    void recordSlowness(double multiple, monotonic_time now);
+
+    // Opens the connection that is kept ready, ends what lingered too long.
+    void maintain(monotonic_time now);
+
+    [[nodiscard]] std::size_t openConnections() const { return m_slots.size(); }
+    [[nodiscard]] std::size_t runningCalls() const;
+
+private:
+    struct slot {
+        std::shared_ptr<http_channel> channel;
+        call_handle call;
+        bool verifying = false;
+        std::optional<monotonic_time> closeAt; // the call was cancelled
+    };
+    using slot_handle = std::shared_ptr<slot>;
+
+    void openSlot();
+    void handleOpened(const slot_handle& opened, bool success);
+    void verify(const slot_handle& opened);
+    void handleHealth(const slot_handle& opened, const exchange_result& result);
+    void pump();
+    void write(const slot_handle& idle, const call_handle& call);
+    void handleReply(const slot_handle& used, const call_handle& call, exchange_result result);
+    void drop(const slot_handle& gone);
+    void handleBreak();
+    void failQueue();
+    void closeIdle();
+    void closeAll();
+    slot_handle idleSlot(monotonic_time now);
+    [[nodiscard]] std::size_t connecting() const;
+
+    asio::any_io_executor m_executor;
+    const gateway_protocol& m_protocol;
+    searcher_entry m_entry;
+    monotonic_time m_coldUntil {};
+    cold_allowance m_cold;
+    std::string m_healthPath = "/";
+    std::uint32_t m_connectionLimit = 0;
+    bool m_evacuated = false;
+    bool m_verified = true;
+    monotonic_time m_retryAt {};
+    milliseconds m_retryDelay;
+    double m_slowness = 1;
+    monotonic_time m_slownessAt {};
+    std::vector<slot_handle> m_slots;
+    std::deque<call_handle> m_queue;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace limpetpier
--- /dev/null
+++ b/src/coordination/gather_policy.cc
@@ -0,0 +1,38 @@
+#include "limpetpier/coordination/gather_policy.h"
+
+#include <cmath>
+
+namespace limpetpier {
+
+namespace {
+
+// Shares are decimal fractions: 0.85 of 20 is 17, whatever its binary form.
+constexpr double rounding = 1e-9;
+
+} // namespace
+
+gather_policy::gather_policy(std::size_t parts, double leastCoverage, monotonic_time arrived, milliseconds objective)
+    : m_parts(parts)
+    , m_least(std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(leastCoverage * static_cast<double>(parts) - rounding))))
+    , m_answerAt(arrived + objective - answerMargin)
+{
+}
+
+bool gather_policy::shouldAnswer(const gather_progress& progress, monotonic_time now) const
+{
+    if (progress.done < m_least)
+        return false;
+    return progress.done + progress.failed >= m_parts || now >= m_answerAt;
+}
+
+bool gather_policy::cannotSucceed(const gather_progress& progress) const
+{
+    return m_parts - progress.failed < m_least;
+}
+
+monotonic_time gather_policy::nextDecision(monotonic_time now) const
+{
+    return now < m_answerAt ? m_answerAt : monotonic_time::max();
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/src/coordination/traffic_split.cc
@@ -0,0 +1,23 @@
+#include "limpetpier/coordination/traffic_split.h"
+
+namespace limpetpier {
+
+const service_id& traffic_split::next(const route& route)
+{
+    if (route.split.size() == 1)
+        return route.split.front().service;
+    // Smooth weighted round robin: the part with the largest credit is next and pays the sum of the weights.
+    double sum = 0;
+    const weighted_service* best = nullptr;
+    for (const auto& part : route.split) {
+        sum += part.weight;
+        auto& credit = m_credit[part.service];
+        credit += part.weight;
+        if (best == nullptr || credit > m_credit[best->service])
+            best = &part;
+    }
+    m_credit[best->service] -= sum;
+    return best->service;
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/src/state/searcher_directory.cc
@@ -0,0 +1,51 @@
+#include "limpetpier/state/searcher_directory.h"
+
+#include <set>
+
+namespace limpetpier {
+
+bool searcher_directory::put(const searcher_entry& entry, monotonic_time now)
+{
+    auto [position, added] = m_records.try_emplace(entry.id);
+    auto& record = position->second;
+    const bool changed = added || record.dropAt || !(record.entry == entry);
+    if (added || record.entry.born != entry.born || record.entry.coldLeft != entry.coldLeft)
+        record.coldUntil = now + entry.coldLeft;
+    record.entry = entry;
+    record.dropAt.reset();
+    return changed;
+}
+
+void searcher_directory::remove(const searcher_id& searcher, monotonic_time now, bool afterOutage)
+{
+    const auto found = m_records.find(searcher);
+    if (found == m_records.end())
+        return;
+    if (!afterOutage)
+        m_records.erase(found);
+    else if (!found->second.dropAt)
+        found->second.dropAt = now + lapseGrace;
+}
+
+void searcher_directory::replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage)
+{
+    std::set<searcher_id> present;
+    for (const auto& entry : entries) {
+        present.insert(entry.id);
+        put(entry, now);
+    }
+    std::vector<searcher_id> absent;
+    for (const auto& [id, record] : m_records) {
+        if (!present.contains(id))
+            absent.push_back(id);
+    }
+    for (const auto& id : absent)
+        remove(id, now, afterOutage);
+}
+
+bool searcher_directory::expire(monotonic_time now)
+{
+    return std::erase_if(m_records, [&](const auto& item) { return item.second.dropAt && *item.second.dropAt <= now; }) > 0;
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/src/transport/client_listener.cc
@@ -0,0 +1,351 @@
+#include "limpetpier/transport/client_listener.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+#include "limpetpier/transport/http_format.h"
+
+namespace limpetpier {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// Bytes read ahead of a request that is still open; a client that sends more is not read until its answer is out.
+constexpr std::size_t readAheadBytes = 16U << 10;
+
+// Time for a client to take an answer before its connection is ended.
+constexpr milliseconds writeTimeout { 5000 };
+
+// Idle and half-sent connections are looked for this often.
+constexpr milliseconds sweepInterval { 500 };
+
+// Pause before accepting again after an error such as a lack of descriptors.
+constexpr milliseconds acceptPause { 50 };
+
+http_reply errorReply(unsigned status, const std::string& message)
+{
+    http_reply reply;
+    reply.status = status;
+    reply.body = R"({"error":")" + message + "\"}\n";
+    reply.close = true;
+    return reply;
+}
+
+http_reply replyToParseError(const beast::error_code& error)
+{
+    if (error == http::error::header_limit)
+        return errorReply(431, "header too large; send fewer or shorter fields");
+    if (error == http::error::body_limit)
+        return errorReply(413, "body too large; send a shorter request");
+    return errorReply(400, "malformed HTTP request: " + error.message());
+}
+
+} // namespace
+
+class client_listener::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(const asio::any_io_executor& executor, const tcp::endpoint& endpoint, handler handle)
+        : m_acceptor(executor, endpoint)
+        , m_pause(executor)
+        , m_sweep(executor)
+        , m_handle(std::move(handle))
+    {
+    }
+
+    void start()
+    {
+        accept();
+        sweep();
+    }
+
+    void stop();
+    void drain();
+
+    client_limits limits;
+    bool closing = false;
+    bool draining = false;
+    std::set<std::shared_ptr<client_connection>> connections;
+
+    void pass(http_request request, client_call call) { m_handle(std::move(request), std::move(call)); }
+
+private:
+    void accept();
+    void sweep();
+
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_pause;
+    asio::steady_timer m_sweep;
+    handler m_handle;
+};
+
+class client_connection : public std::enable_shared_from_this<client_connection> {
+public:
+    client_connection(tcp::socket socket, std::shared_ptr<client_listener::implementation> listener)
+        : m_socket(std::move(socket))
+        , m_listener(std::move(listener))
+        , m_idleLimit(m_listener->limits.idleTimeout)
+    {
+    }
+
+    void start()
+    {
+        beast::error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        startParser();
+        read();
+    }
+
+    void answer(http_reply reply)
+    {
+        if (m_state != state::waiting)
+            return;
+        m_state = state::writing;
+        m_since = monotonic_clock::now();
+        m_onGone = nullptr;
+        m_closeAfter = reply.close || !m_keepAlive || m_listener->closing;
+        reply.close = m_closeAfter;
+        m_output = formatReply(reply, m_isHead);
+        asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](const beast::error_code& error, std::size_t) { self->handleWritten(error); });
+    }
+
+    void onGone(std::function<void()> handler) { m_onGone = std::move(handler); }
+
+    [[nodiscard]] bool isIdle() const { return m_state == state::reading && !m_begun; }
+
+    void sweep(monotonic_time now)
+    {
+        m_idleLimit = std::max(m_idleLimit, m_listener->limits.idleTimeout);
+        if (m_state == state::writing && now - m_since > writeTimeout)
+            end();
+        else if (isIdle() && now - m_since > m_idleLimit)
+            end();
+        else if (m_state == state::reading && m_begun && now - m_since > m_listener->limits.headerTimeout)
+            refuse(errorReply(408, "request incomplete in time; send it whole"));
+    }
+
+    void end()
+    {
+        if (m_state == state::closed)
+            return;
+        m_state = state::closed;
+        beast::error_code ignored;
+        m_socket.close(ignored);
+        const auto self = shared_from_this();
+        m_listener->connections.erase(self);
+        if (auto handler = std::exchange(m_onGone, nullptr))
+            handler();
+    }
+
+private:
+    enum class state : std::uint8_t {
+        reading,
+        waiting,
+        writing,
+        closed,
+    };
+
+    void startParser()
+    {
+        m_parser.emplace();
+        m_parser->eager(true);
+        m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits.headerBytes));
+        m_parser->body_limit(m_listener->limits.bodyBytes);
+        m_continued = false;
+    }
+
+    void read()
+    {
+        if (m_readPending || m_state == state::closed || m_pending.size() >= readAheadBytes)
+            return;
+        m_readPending = true;
+        m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const beast::error_code& error, std::size_t count) {
+            self->m_readPending = false;
+            self->handleRead(error, count);
+        });
+    }
+
+    void handleRead(const beast::error_code& error, std::size_t count)
+    {
+        if (m_state == state::closed)
+            return;
+        if (error) {
+            if (m_state != state::writing)
+                end();
+            return;
+        }
+        m_pending.append(m_buffer.data(), count);
+        if (m_state == state::reading)
+            parse();
+        read();
+    }
+
+    void parse()
+    {
+        while (m_state == state::reading && !m_pending.empty()) {
+            if (!m_begun) {
+                m_begun = true;
+                m_since = monotonic_clock::now();
+            }
+            beast::error_code error;
+            const auto used = m_parser->put(asio::buffer(m_pending), error);
+            m_pending.erase(0, used);
+            if (error && error != http::error::need_more) {
+                refuse(replyToParseError(error));
+                return;
+            }
+            if (m_parser->is_done()) {
+                handOver();
+                return;
+            }
+            if (m_parser->is_header_done())
+                sendContinue();
+            if (used == 0 || error == http::error::need_more)
+                return;
+        }
+    }
+
+    void sendContinue()
+    {
+        if (m_continued || m_parser->get()[http::field::expect].empty())
+            return;
+        m_continued = true;
+        static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
+        asio::async_write(m_socket, asio::buffer(line), [self = shared_from_this()](const beast::error_code&, std::size_t) {});
+    }
+
+    void handOver()
+    {
+        m_keepAlive = m_parser->keep_alive();
+        auto message = m_parser->release();
+        m_isHead = message.method() == http::verb::head;
+        m_state = state::waiting;
+        m_begun = false;
+        http_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto& field : message)
+            request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        request.body = std::move(message.body());
+        m_listener->pass(std::move(request), client_call(shared_from_this()));
+    }
+
+    void refuse(http_reply reply)
+    {
+        m_state = state::waiting;
+        answer(std::move(reply));
+    }
+
+    void handleWritten(const beast::error_code& error)
+    {
+        if (m_state != state::writing)
+            return;
+        m_output.clear();
+        if (error || m_closeAfter) {
+            beast::error_code ignored;
+            if (!error)
+                m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            end();
+            return;
+        }
+        m_state = state::reading;
+        m_begun = false;
+        m_since = monotonic_clock::now();
+        m_idleLimit = m_listener->limits.idleTimeout;
+        startParser();
+        parse();
+        read();
+    }
+
+    tcp::socket m_socket;
+    std::shared_ptr<client_listener::implementation> m_listener;
+    milliseconds m_idleLimit;
+    state m_state = state::reading;
+    bool m_begun = false; // a request has begun to arrive
+    bool m_keepAlive = true;
+    bool m_isHead = false;
+    bool m_closeAfter = false;
+    bool m_continued = false;
+    bool m_readPending = false;
+    monotonic_time m_since = monotonic_clock::now();
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::string m_pending;
+    std::string m_output;
+    std::function<void()> m_onGone;
+    std::array<char, 2048> m_buffer {};
+};
+
+void client_listener::implementation::accept()
+{
+    m_acceptor.async_accept([self = shared_from_this()](const beast::error_code& error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || self->draining)
+            return;
+        if (error) {
+            self->m_pause.expires_after(acceptPause);
+            self->m_pause.async_wait([self](const beast::error_code& cancelled) {
+                if (!cancelled)
+                    self->accept();
+            });
+            return;
+        }
+        auto connection = std::make_shared<client_connection>(std::move(socket), self);
+        self->connections.insert(connection);
+        connection->start();
+        self->accept();
+    });
+}
+
+void client_listener::implementation::sweep()
+{
+    m_sweep.expires_after(sweepInterval);
+    m_sweep.async_wait([self = shared_from_this()](const beast::error_code& cancelled) {
+        if (cancelled)
+            return;
+        const auto now = monotonic_clock::now();
+        const auto open = self->connections;
+        for (const auto& connection : open)
+            connection->sweep(now);
+        self->sweep();
+    });
+}
+
+void client_listener::implementation::drain()
+{
+    draining = true;
+    beast::error_code ignored;
+    m_acceptor.close(ignored);
+    const auto open = connections;
+    for (const auto& connection : open) {
+        if (connection->isIdle())
+            connection->end();
+    }
+}
+
+void client_listener::implementation::stop()
+{
+    drain();
+    m_sweep.cancel();
+    m_pause.cancel();
+}
+
+void client_call::answer(http_reply reply) { m_connection->answer(std::move(reply)); }
+void client_call::onGone(std::function<void()> handler) { m_connection->onGone(std::move(handler)); }
+
+client_listener::client_listener(asio::any_io_executor executor, const tcp::endpoint& endpoint, handler handle)
+    : m_implementation(std::make_shared<implementation>(executor, endpoint, std::move(handle)))
+{
+    m_implementation->start();
+}
+
+client_listener::~client_listener() { m_implementation->stop(); }
+void client_listener::changeLimits(const client_limits& limits) { m_implementation->limits = limits; }
+void client_listener::announceClose() { m_implementation->closing = true; }
+void client_listener::drain() { m_implementation->drain(); }
+std::size_t client_listener::connections() const { return m_implementation->connections.size(); }
+
+} // namespace limpetpier
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -37,6 +37,14 @@
     event_entry { event::searcher_warm, event_level::info, "searcher_warm" },
     event_entry { event::connection_silent, event_level::warning, "connection_silent" },
     event_entry { event::searcher_draining, event_level::info, "searcher_draining" },
+    event_entry { event::searcher_doubted, event_level::warning, "searcher_doubted" },
+    event_entry { event::members_changed, event_level::info, "members_changed" },
+    event_entry { event::table_adopted, event_level::info, "table_adopted" },
+    event_entry { event::table_unreadable, event_level::error, "table_unreadable" },
+    event_entry { event::evacuation_changed, event_level::info, "evacuation_changed" },
+    event_entry { event::entry_unreadable, event_level::warning, "entry_unreadable" },
+    event_entry { event::store_answer_unreadable, event_level::warning, "store_answer_unreadable" },
+    event_entry { event::request_ended, event_level::info, "request_ended" },
 };
 
 boost::log::trivial::severity_level severityOf(event_level level)
--- /dev/null
+++ b/src/transport/http_format.cc
@@ -0,0 +1,72 @@
+#include "limpetpier/transport/http_format.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace limpetpier {
+
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr std::array<std::string_view, 11> hopFields { "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
+    "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect" };
+
+constexpr std::size_t typicalHeadBytes = 256;
+
+// Statuses that never have a body or a length.
+bool hasNoBody(unsigned status) { return status == 204 || status == 304; }
+
+void append(std::string& out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+} // namespace
+
+bool isHopField(std::string_view name, std::string_view connectionField)
+{
+    const auto same = [&](std::string_view other) { return beast::iequals({ name.data(), name.size() }, { other.data(), other.size() }); };
+    if (std::any_of(hopFields.begin(), hopFields.end(), same))
+        return true;
+    const beast::http::token_list listed(beast::string_view(connectionField.data(), connectionField.size()));
+    return std::any_of(listed.begin(), listed.end(), [&](const auto& token) { return same({ token.data(), token.size() }); });
+}
+
+std::string formatRequest(const http_request& request)
+{
+    std::string out;
+    out.reserve(typicalHeadBytes + request.body.size());
+    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const auto& field : request.fields)
+        append(out, field.name, field.value);
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        append(out, "Content-Length", std::to_string(request.body.size()));
+    out.append("\r\n").append(request.body);
+    return out;
+}
+
+std::string formatReply(const http_reply& reply, bool withoutBody)
+{
+    std::string out;
+    out.reserve(typicalHeadBytes + reply.body.size());
+    const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(reply.status));
+    out.append("HTTP/1.1 ").append(std::to_string(reply.status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
+    if (!reply.contentType.empty())
+        append(out, "Content-Type", reply.contentType);
+    for (const auto& field : reply.fields)
+        append(out, field.name, field.value);
+    if (reply.close)
+        append(out, "Connection", "close");
+    if (!hasNoBody(reply.status))
+        append(out, "Content-Length", std::to_string(reply.body.size()));
+    out.append("\r\n");
+    if (!withoutBody && !hasNoBody(reply.status))
+        out.append(reply.body);
+    return out;
+}
+
+} // namespace limpetpier
