One steady connection a searcher; a refused extra connection no longer drops the working one

Change: connections beyond the first close after a second without use; only a searcher without any open connection is doubted. Tests of the new coordination classes and of the adapter.

--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -53,11 +53,7 @@
               [this](const store_item& item, bool afterOutage) { applySearcher(item, afterOutage); },
               [](bool reachable) { logEvent(reachable ? event::store_up : event::store_down, "keys=searchers"); } })
     , m_membership(io.get_executor(), store, m_settings.node, m_settings.peerAddress, m_settings.memberLife,
-          [this](const std::vector<node_id>& members) {
-              m_share = member_share(m_settings.node, members);
-              logEvent(event::members_changed, "members=" + std::to_string(m_share.members()));
-              m_fleetChanged = true;
-          })
+          [this](const std::vector<node_id>& members) { changeMembers(members); })
     , m_clients(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readiness(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
     , m_maintenance(io)
@@ -204,6 +200,15 @@
     refreshFleet();
 }
 
+void gateway::changeMembers(const std::vector<node_id>& members)
+{
+    member_share share(m_settings.node, members);
+    if (share.members() != m_share.members())
+        logEvent(event::members_changed, "members=" + std::to_string(share.members()));
+    m_share = std::move(share);
+    m_fleetChanged = true;
+}
+
 void gateway::refreshFleet()
 {
     if (!m_fleetChanged || !m_table)
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -41,6 +41,7 @@
     void applySearcher(const store_item& item, bool afterOutage);
     void replaceSearchers(const std::vector<store_item>& items, bool afterOutage);
     std::optional<searcher_entry> readSearcher(const store_item& item) const;
+    void changeMembers(const std::vector<node_id>& members);
     void refreshFleet();
 
     void maintain();
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -18,6 +18,10 @@
 // Calls that wait for a connection, for each connection allowed.
 constexpr std::size_t queueFactor = 4;
 
+// Connections beyond the first are closed after this time without use: a searcher must have room for those of processes
+// that restart before it notices that the old ones are gone.
+constexpr milliseconds spareLife { 1000 };
+
 // A searcher's slowness is forgotten with this time constant, so that it is tried again.
 constexpr milliseconds slownessMemory { 2000 };
 constexpr double slownessGain = 0.3; // weight of the newest reply
@@ -68,7 +72,7 @@
 void searcher_pool::setEvacuated(bool evacuated)
 {
     if (m_evacuated && !evacuated)
-        handleBreak(); // it may be cold: asked before it is used again
+        doubt(); // it may have become cold meanwhile
     m_evacuated = evacuated;
 }
 
@@ -178,6 +182,7 @@
 {
     used->call.reset();
     used->closeAt.reset();
+    used->idleSince = monotonic_clock::now();
     if (!used->channel->isOpen())
         drop(used);
     else if (used != m_slots.back()) // most recently used last
@@ -190,8 +195,12 @@
     outcome.elapsed = std::chrono::duration_cast<microseconds>(monotonic_clock::now() - call->writtenAt);
     if (result.stage == exchange_stage::replied)
         outcome.reply = m_protocol.decodeReply(std::move(result.reply));
-    if (outcome.stage == exchange_stage::replied && outcome.reply.kind == reply_kind::misdirected)
-        handleBreak();
+    if (outcome.stage == exchange_stage::replied && outcome.reply.kind == reply_kind::misdirected) {
+        doubt();
+        failQueue();
+    } else if (outcome.stage == exchange_stage::replied) {
+        m_retryDelay = firstRetryDelay;
+    }
     pump();
     if (wanted)
         call->onResult(std::move(outcome));
@@ -230,9 +239,9 @@
     if (!success) {
         drop(opened);
         handleBreak();
-        failQueue();
         return;
     }
+    opened->idleSince = monotonic_clock::now();
     if (!m_verified)
         verify(opened);
     else
@@ -261,25 +270,37 @@
     }
     const auto report = m_protocol.decodeHealth(result.reply);
     if (report.searcher != m_entry.id) {
-        handleBreak();
+        m_retryAt = monotonic_clock::now() + longestRetryDelay;
+        closeIdle();
         return;
     }
     m_verified = true;
     m_retryDelay = firstRetryDelay;
     m_retryAt = {};
+    opened->idleSince = monotonic_clock::now();
     m_coldUntil = std::max(m_coldUntil, monotonic_clock::now() + report.coldLeft);
     pump();
 }
 
+// A connection failed. While others work, the searcher is well and only has no room for more; without any it may have
+// been restarted, and is asked before it is used again.
 void searcher_pool::handleBreak()
+{
+    const auto now = monotonic_clock::now();
+    m_retryAt = now + m_retryDelay;
+    m_retryDelay = std::min(longestRetryDelay, m_retryDelay * 2);
+    if (std::any_of(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isOpen(); }))
+        return;
+    doubt();
+    failQueue();
+}
+
+void searcher_pool::doubt()
 {
     if (m_verified)
         logEvent(event::searcher_doubted, "searcher=" + m_entry.id.value() + " service=" + m_entry.service.value());
     m_verified = false;
-    m_retryAt = monotonic_clock::now() + m_retryDelay;
-    m_retryDelay = std::min(longestRetryDelay, m_retryDelay * 2);
     closeIdle();
-    failQueue();
 }
 
 void searcher_pool::failQueue()
@@ -311,8 +332,9 @@
     gone->channel->close();
     std::erase(m_slots, gone);
     // With no connection left it may have been restarted: asked before it is used again.
-    if (m_slots.empty() && m_verified && !m_entry.draining) {
-        m_verified = false;
+    const bool noneOpen = std::none_of(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isOpen(); });
+    if (noneOpen && m_verified && !m_entry.draining) {
+        doubt();
         m_retryAt = std::max(m_retryAt, monotonic_clock::now() + firstRetryDelay);
     }
 }
@@ -329,16 +351,15 @@
 {
     const auto slots = m_slots;
     for (const auto& slot : slots) {
-        if (slot->closeAt && now >= *slot->closeAt) {
-            const bool checking = slot->verifying;
-            slot->channel->close();
-            std::erase(m_slots, slot);
-            if (checking)
-                handleBreak();
-        } else if (slot->channel->isIdle() && slot->channel->usableUntil() <= now) {
-            slot->channel->close();
-            std::erase(m_slots, slot);
-        }
+        const bool overdue = slot->closeAt && now >= *slot->closeAt;
+        const bool spare = slot->channel->isIdle() && m_slots.size() > 1 && now - slot->idleSince > spareLife;
+        const bool stale = slot->channel->isIdle() && slot->channel->usableUntil() <= now;
+        if (!overdue && !spare && !stale)
+            continue;
+        slot->channel->close();
+        std::erase(m_slots, slot);
+        if (overdue && slot->verifying)
+            handleBreak();
     }
     if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt)
         openSlot();
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -52,6 +52,7 @@
         std::shared_ptr<http_channel> channel;
         call_handle call;
         bool verifying = false;
+        monotonic_time idleSince {};
         std::optional<monotonic_time> closeAt; // the call was cancelled
     };
     using slot_handle = std::shared_ptr<slot>;
@@ -65,6 +66,7 @@
     void handleReply(const slot_handle& used, const call_handle& call, exchange_result result);
     void drop(const slot_handle& gone);
     void handleBreak();
+    void doubt();
     void failQueue();
     void closeIdle();
     void closeAll();
--- a/src/coordination/retry_allowance.cc
+++ b/src/coordination/retry_allowance.cc
@@ -32,7 +32,7 @@
 double retry_allowance::left(monotonic_time now)
 {
     const auto& newest = current(now);
-    // Requests of the oldest slice may lie outside the bench of a window that ends now; they are not counted.
+    // Requests of the oldest slice may lie outside the bounds of a window that ends now; they are not counted.
     const auto oldest = m_slices.front().number <= newest.number - slicesPerWindow ? m_slices.front().requests : 0;
     return m_share * shareMargin * static_cast<double>(m_requests - oldest) + m_slack - static_cast<double>(m_extra);
 }
--- /dev/null
+++ b/test/gather_policy_test.cc
@@ -0,0 +1,45 @@
+#include "limpetpier/coordination/gather_policy.h"
+
+#include <catch2/catch.hpp>
+
+using namespace limpetpier;
+
+namespace {
+
+const monotonic_time start { std::chrono::hours { 1 } };
+constexpr milliseconds objective { 80 };
+const gather_policy policy(20, 0.89, start, objective);
+
+} // namespace
+
+TEST_CASE("The least coverage is a whole number of parts, rounded up")
+{
+    CHECK(policy.leastParts() == 18);
+    CHECK(gather_policy(20, 0.85, start, objective).leastParts() == 17);
+    CHECK(gather_policy(3, 0, start, objective).leastParts() == 1);
+}
+
+TEST_CASE("While there is time all parts are waited for")
+{
+    CHECK_FALSE(policy.shouldAnswer({ 19, 0 }, start + milliseconds(20)));
+    CHECK(policy.shouldAnswer({ 20, 0 }, start + milliseconds(20)));
+}
+
+TEST_CASE("Parts that cannot come are not waited for")
+{
+    CHECK(policy.shouldAnswer({ 19, 1 }, start + milliseconds(20)));
+}
+
+TEST_CASE("When the objective is nearly over the least coverage is enough")
+{
+    const auto late = start + objective - gather_policy::answerMargin;
+    CHECK(policy.shouldAnswer({ 18, 0 }, late));
+    CHECK_FALSE(policy.shouldAnswer({ 17, 0 }, late));
+    CHECK(policy.nextDecision(start) == late);
+}
+
+TEST_CASE("A query that can no longer reach its coverage has failed")
+{
+    CHECK_FALSE(policy.cannotSucceed({ 0, 2 }));
+    CHECK(policy.cannotSucceed({ 17, 3 }));
+}
--- /dev/null
+++ b/test/node_settings_test.cc
@@ -0,0 +1,84 @@
+#include "node_settings.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+
+#include "limpetpier/state/errors.h"
+
+using namespace limpetpier;
+
+namespace {
+
+const std::string sample = R"(nodeName = "front-1"
+ip = "10.1.0.9"
+zone = "z1"
+internalPorts = [7380,7395]
+heartbeatMs = 1200
+somethingNew = { a = 1 }
+
+[listenAddrs]
+front = "10.1.0.9:8104"
+readyAddr = "10.1.0.9:8108"
+[bounds]
+graceS = 6
+retryBudget = 0.2
+budgetWindowS = 10
+budgetSlack = 58
+coldOvershoot = 1.5
+coldSlack = 5
+[platform]
+address = "10.200.1.7:8102"
+ttlMinMs = 1000
+)";
+
+platform::node_settings readText(const std::string& text)
+{
+    const std::string path = "node_settings_test.toml";
+    std::ofstream(path) << text;
+    return platform::readNodeSettings(path);
+}
+
+std::string errorFor(const std::string& text)
+{
+    try {
+        readText(text);
+    } catch (const settings_error& error) {
+        return error.what();
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("The platform's settings are read, unknown fields are ignored")
+{
+    const auto settings = readText(sample);
+    CHECK(settings.node == node_id("front-1"));
+    CHECK(settings.clientAddress == "10.1.0.9:8104");
+    CHECK(settings.firstPeerPort == 7380);
+    CHECK(settings.retrySlack == 58);
+    CHECK(settings.retryWindow == milliseconds(10'000));
+    CHECK(settings.stopGrace == milliseconds(6000));
+}
+
+TEST_CASE("A wrong field is named with what was found and expected")
+{
+    auto text = sample;
+    text.replace(text.find("graceS = 6"), 10, "graceS = \"six\"");
+    const auto error = errorFor(text);
+    CHECK(error.find("bounds.graceS") != std::string::npos);
+    CHECK(error.find("found \"six\"") != std::string::npos);
+    CHECK(error.find("expected a number") != std::string::npos);
+}
+
+TEST_CASE("A missing field is named")
+{
+    auto text = sample;
+    text.erase(text.find("address = "), 27);
+    CHECK(errorFor(text).find("platform.address: found nothing") != std::string::npos);
+}
+
+TEST_CASE("A missing file is named")
+{
+    CHECK_THROWS_AS(platform::readNodeSettings("nowhere.toml"), settings_error);
+}
--- /dev/null
+++ b/test/retry_allowance_test.cc
@@ -0,0 +1,51 @@
+#include "limpetpier/coordination/retry_allowance.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+#include <vector>
+
+using namespace limpetpier;
+
+namespace {
+
+const monotonic_time start { std::chrono::hours { 1 } };
+constexpr milliseconds window { 10'000 };
+
+} // namespace
+
+TEST_CASE("Extra sends in any window stay within what its requests earned and the slack")
+{
+    retry_allowance allowance(0.2, 4, window);
+    std::mt19937 random(5);
+    std::vector<monotonic_time> requests;
+    std::vector<monotonic_time> extras;
+    auto now = start;
+    for (int step = 0; step < 20'000; ++step) {
+        now += milliseconds(std::uniform_int_distribution<>(0, 30)(random));
+        // Bursts and lulls of requests, always more demand than allowance.
+        if ((step / 2000) % 2 == 0 && random() % 2 == 0) {
+            allowance.recordRequest(now);
+            requests.push_back(now);
+        } else if (allowance.spend(now)) {
+            extras.push_back(now);
+        }
+    }
+    REQUIRE(extras.size() > 100);
+    const auto countWithin = [](const std::vector<monotonic_time>& times, monotonic_time from, monotonic_time to) {
+        return static_cast<double>(std::upper_bound(times.begin(), times.end(), to) - std::lower_bound(times.begin(), times.end(), from));
+    };
+    for (const auto& end : extras) {
+        const auto from = end - window;
+        CHECK(countWithin(extras, from, end) <= 0.2 * countWithin(requests, from, end) + 4);
+    }
+}
+
+TEST_CASE("The slack alone pays where nothing was earned")
+{
+    retry_allowance allowance(0.2, 2, window);
+    CHECK(allowance.spend(start));
+    CHECK(allowance.spend(start));
+    CHECK_FALSE(allowance.spend(start));
+    CHECK(allowance.spend(start + 2 * window));
+}
