--- a/include/limpetpier/coordination/gather_policy.h
+++ b/include/limpetpier/coordination/gather_policy.h
@@ -10,6 +10,7 @@
 struct gather_progress {
     std::size_t done = 0;
     std::size_t failed = 0;
+    std::size_t unsent = 0; // no searcher could take them so far
 };
 
 // Decides when a query over many shards is answered with the parts that are in.
@@ -23,8 +24,9 @@
 
     [[nodiscard]] bool shouldAnswer(const gather_progress& progress, monotonic_time now) const;
 
-    // Too many parts failed for the least coverage.
-    [[nodiscard]] bool cannotSucceed(const gather_progress& progress) const;
+    // Too many parts failed for the least coverage, or could not even be sent for a while: a client that is told early
+    // can still be served by another process within the objective.
+    [[nodiscard]] bool cannotSucceed(const gather_progress& progress, monotonic_time now) const;
 
     // When the decision may change without a part coming in.
     [[nodiscard]] monotonic_time nextDecision(monotonic_time now) const;
@@ -34,10 +36,14 @@
     // Kept for the ways to and from the client and for building the answer.
     static constexpr milliseconds answerMargin { 9 };
 
+    // Part of the objective in which searchers are waited for.
+    static constexpr int unsentPart = 5;
+
 private:
     std::size_t m_parts;
     std::size_t m_least;
     monotonic_time m_answerAt;
+    monotonic_time m_unsentUntil;
 };
 
 } // namespace limpetpier
--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -18,6 +18,8 @@
     started = 100,
     stopping = 101,
     stopped = 102,
+    settings_reloaded = 103,
+    settings_invalid = 104,
     epoch_adopted = 200,
     epoch_proposed = 201,
     member_suspected = 202,
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -36,6 +36,9 @@
 constexpr milliseconds lateArrivals { 400 };
 constexpr milliseconds stopPoll { 20 };
 
+// Without the store for this long, the list of searchers is not enough to call this process ready.
+constexpr milliseconds staleAfter { 2500 };
+
 } // namespace
 
 gateway::gateway(asio::io_context& io, const gateway_protocol& protocol, metadata_store& store, gateway_settings settings)
@@ -74,6 +77,14 @@
     });
 }
 
+void gateway::changeSettings(const gateway_settings& settings)
+{
+    m_settings.bounds = settings.bounds;
+    m_settings.stopGrace = settings.stopGrace;
+    m_fleet.changeBounds(settings.bounds);
+    m_fleetChanged = true;
+}
+
 void gateway::handleRequest(http_request message, client_call call)
 {
     auto request = std::make_shared<client_request>(m_protocol.decodeRequest(std::move(message)));
@@ -103,7 +114,7 @@
 
 void gateway::handleReady(client_call call)
 {
-    const bool ready = !m_stopping && m_table && m_searcherKeys.hasRead();
+    const bool ready = !m_stopping && m_table && m_searcherKeys.hasRead() && !isLost();
     if (m_stopping)
         ++m_unreadyAnswers;
     http_reply reply;
@@ -112,6 +123,12 @@
     call.answer(std::move(reply));
 }
 
+// Cut off from the store for a while, and the searchers known are gone: others serve better.
+bool gateway::isLost() const
+{
+    return !m_searcherKeys.isReachable() && monotonic_clock::now() - m_searcherKeys.lastAnswer() > staleAfter && !m_fleet.canServe(*m_table);
+}
+
 void gateway::report(const run_report& ended)
 {
     if (ended.outcome == "answered")
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -29,10 +29,14 @@
 
     void start();
 
+    // Takes over changed bounds and times; addresses stay as they were at the start.
+    void changeSettings(const gateway_settings& settings);
+
 private:
     void handleRequest(http_request message, client_call call);
     void route(std::shared_ptr<client_request> request, client_call call);
     void handleReady(client_call call);
+    [[nodiscard]] bool isLost() const;
     void report(const run_report& report);
 
     void applyOperator(const store_item& item);
--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -136,6 +136,7 @@
         for (const auto& part : m_parts) {
             result.done += part.state == part_state::done ? 1U : 0U;
             result.failed += part.state == part_state::failed ? 1U : 0U;
+            result.unsent += part.state == part_state::waiting ? 1U : 0U;
         }
         return result;
     }
@@ -149,7 +150,7 @@
         const auto state = progress();
         if (m_policy.shouldAnswer(state, now))
             answer();
-        else if (m_policy.cannotSucceed(state) || now >= m_request.answerBy)
+        else if (m_policy.cannotSucceed(state, now) || now >= m_request.answerBy)
             fail(now);
         else
             arm(now);
--- a/programs/gateway/run_base.h
+++ b/programs/gateway/run_base.h
@@ -44,7 +44,7 @@
 constexpr milliseconds goneLinger { 150 };
 
 // When a refused client should come back.
-constexpr milliseconds retryAfterRefusal { 20 };
+constexpr milliseconds retryAfterRefusal { 5 };
 
 // A request that no searcher could take is refused after this part of its objective.
 constexpr int refusalPart = 5;
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -98,6 +98,22 @@
     });
 }
 
+bool searcher_fleet::isReachable(const service_id& service) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [](const searcher_pool* pool) { return pool->isReachable(); });
+}
+
+bool searcher_fleet::canServe(const routing_table& table) const
+{
+    return std::all_of(table.routes().begin(), table.routes().end(), [&](const route& rule) {
+        if (!rule.isQuery())
+            return std::all_of(rule.split.begin(), rule.split.end(), [&](const weighted_service& part) { return isReachable(part.service); });
+        const auto reachable = std::count_if(rule.shards.begin(), rule.shards.end(), [&](const service_id& shard) { return isReachable(shard); });
+        return static_cast<double>(reachable) >= rule.leastCoverage * static_cast<double>(rule.shards.size());
+    });
+}
+
 searcher_pool* searcher_fleet::find(const searcher_id& searcher)
 {
     if (const auto found = m_pools.find(searcher); found != m_pools.end())
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -28,12 +28,22 @@
     // Takes over a change of the directory, the table, the members or the zones to be emptied.
     void update(const searcher_directory& directory, const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated);
 
+    // Takes effect with the next update.
+    void changeBounds(const shared_bounds& bounds) { m_bounds = bounds; }
+
     // Best searcher of a service to send to now; null if there is none. The excluded ones are not considered.
     searcher_pool* choose(const service_id& service, const std::vector<searcher_id>& excluded, monotonic_time now);
 
     // True if the service has a searcher besides the excluded ones, usable now or not.
     [[nodiscard]] bool hasOther(const service_id& service, const std::vector<searcher_id>& excluded) const;
 
+    // True if the service has a searcher that can be reached.
+    [[nodiscard]] bool isReachable(const service_id& service) const;
+
+    // True if this process can serve every route of the table: a single-searcher route needs each of its services, a
+    // query its least coverage.
+    [[nodiscard]] bool canServe(const routing_table& table) const;
+
     // Null once the searcher has left the directory.
     searcher_pool* find(const searcher_id& searcher);
 
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -18,6 +18,9 @@
 // Calls that wait for a connection, for each connection allowed.
 constexpr std::size_t queueFactor = 4;
 
+// Health checks in a row that may say a listed searcher is ill before it is tried nevertheless.
+constexpr std::uint32_t mostIllAnswers = 4;
+
 // Connections beyond the first are closed after this time without use: a searcher must have room for those of processes
 // that restart before it notices that the old ones are gone.
 constexpr milliseconds spareLife { 1000 };
@@ -183,7 +186,9 @@
     used->call.reset();
     used->closeAt.reset();
     used->idleSince = monotonic_clock::now();
-    if (!used->channel->isOpen())
+    if (!used->channel->isOpen() && result.stage == exchange_stage::replied)
+        std::erase(m_slots, used); // closed in order, after a whole reply
+    else if (!used->channel->isOpen())
         drop(used);
     else if (used != m_slots.back()) // most recently used last
         std::rotate(std::find(m_slots.begin(), m_slots.end(), used), std::find(m_slots.begin(), m_slots.end(), used) + 1, m_slots.end());
@@ -269,12 +274,15 @@
         return;
     }
     const auto report = m_protocol.decodeHealth(result.reply);
-    if (report.searcher != m_entry.id) {
+    // One that says it is ill is asked again; it may be leaving, or wrong about itself.
+    const bool ill = !report.healthy && ++m_illAnswers < mostIllAnswers;
+    if (report.searcher != m_entry.id || ill) {
         m_retryAt = monotonic_clock::now() + longestRetryDelay;
         closeIdle();
         return;
     }
     m_verified = true;
+    m_illAnswers = 0;
     m_retryDelay = firstRetryDelay;
     m_retryAt = {};
     opened->idleSince = monotonic_clock::now();
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -28,6 +28,9 @@
     // True if a request may be sent now.
     [[nodiscard]] bool isUsable(monotonic_time now);
 
+    // True if requests may be sent now or as soon as a connection is free.
+    [[nodiscard]] bool isReachable() const { return !m_entry.draining && !m_evacuated && m_verified && m_connectionLimit > 0; }
+
     // Expected cost of sending here, in multiples of an ordinary reply's time; smaller is better.
     [[nodiscard]] double cost(monotonic_time now) const;
 
@@ -82,6 +85,7 @@
     std::uint32_t m_connectionLimit = 0;
     bool m_evacuated = false;
     bool m_verified = true;
+    std::uint32_t m_illAnswers = 0;
     monotonic_time m_retryAt {};
     milliseconds m_retryDelay;
     double m_slowness = 1;
--- a/src/coordination/gather_policy.cc
+++ b/src/coordination/gather_policy.cc
@@ -15,6 +15,7 @@
     : m_parts(parts)
     , m_least(std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(leastCoverage * static_cast<double>(parts) - rounding))))
     , m_answerAt(arrived + objective - answerMargin)
+    , m_unsentUntil(arrived + objective / unsentPart)
 {
 }
 
@@ -25,13 +26,16 @@
     return progress.done + progress.failed >= m_parts || now >= m_answerAt;
 }
 
-bool gather_policy::cannotSucceed(const gather_progress& progress) const
+bool gather_policy::cannotSucceed(const gather_progress& progress, monotonic_time now) const
 {
-    return m_parts - progress.failed < m_least;
+    const auto lost = progress.failed + (now >= m_unsentUntil ? progress.unsent : 0);
+    return m_parts - lost < m_least;
 }
 
 monotonic_time gather_policy::nextDecision(monotonic_time now) const
 {
+    if (now < m_unsentUntil)
+        return m_unsentUntil;
     return now < m_answerAt ? m_answerAt : monotonic_time::max();
 }
 
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -19,6 +19,8 @@
     event_entry { event::started, event_level::info, "started" },
     event_entry { event::stopping, event_level::info, "stopping" },
     event_entry { event::stopped, event_level::info, "stopped" },
+    event_entry { event::settings_reloaded, event_level::info, "settings_reloaded" },
+    event_entry { event::settings_invalid, event_level::error, "settings_invalid" },
     event_entry { event::epoch_adopted, event_level::info, "epoch_adopted" },
     event_entry { event::epoch_proposed, event_level::info, "epoch_proposed" },
     event_entry { event::member_suspected, event_level::warning, "member_suspected" },
--- a/test/gather_policy_test.cc
+++ b/test/gather_policy_test.cc
@@ -21,25 +21,32 @@
 
 TEST_CASE("While there is time all parts are waited for")
 {
-    CHECK_FALSE(policy.shouldAnswer({ 19, 0 }, start + milliseconds(20)));
-    CHECK(policy.shouldAnswer({ 20, 0 }, start + milliseconds(20)));
+    CHECK_FALSE(policy.shouldAnswer({ 19, 0, 0 }, start + milliseconds(20)));
+    CHECK(policy.shouldAnswer({ 20, 0, 0 }, start + milliseconds(20)));
 }
 
 TEST_CASE("Parts that cannot come are not waited for")
 {
-    CHECK(policy.shouldAnswer({ 19, 1 }, start + milliseconds(20)));
+    CHECK(policy.shouldAnswer({ 19, 1, 0 }, start + milliseconds(20)));
 }
 
 TEST_CASE("When the objective is nearly over the least coverage is enough")
 {
     const auto late = start + objective - gather_policy::answerMargin;
-    CHECK(policy.shouldAnswer({ 18, 0 }, late));
-    CHECK_FALSE(policy.shouldAnswer({ 17, 0 }, late));
-    CHECK(policy.nextDecision(start) == late);
+    CHECK(policy.shouldAnswer({ 18, 0, 0 }, late));
+    CHECK_FALSE(policy.shouldAnswer({ 17, 0, 0 }, late));
+    CHECK(policy.nextDecision(start + milliseconds(20)) == late);
 }
 
 TEST_CASE("A query that can no longer reach its coverage has failed")
 {
-    CHECK_FALSE(policy.cannotSucceed({ 0, 2 }));
-    CHECK(policy.cannotSucceed({ 17, 3 }));
+    CHECK_FALSE(policy.cannotSucceed({ 0, 2, 0 }, start));
+    CHECK(policy.cannotSucceed({ 17, 3, 0 }, start));
+}
+
+TEST_CASE("Parts that find no searcher for a fifth of the objective count as failed")
+{
+    CHECK_FALSE(policy.cannotSucceed({ 0, 0, 20 }, start + milliseconds(15)));
+    CHECK(policy.cannotSucceed({ 10, 0, 3 }, start + milliseconds(16)));
+    CHECK_FALSE(policy.cannotSucceed({ 10, 0, 2 }, start + milliseconds(16)));
 }
