One watch for all keys of the store; tests of the gateway against stand-ins of the platform

Change: one watch over all keys with a wait of 25 s; the kernel probes its connection, so silence is noticed in 3 s; changes are gathered for 700 ms. Ruled out: stale reads at a tenth of the price, as drains must be known in 3 s. Tests: gateway in process against a stand-in store and searchers that shed, fail, pause, garble, answer twice, reset.

--- a/include/limpetpier/transport/http_channel.h
+++ b/include/limpetpier/transport/http_channel.h
@@ -31,9 +31,13 @@
 
     static std::shared_ptr<http_channel> create(const asio::any_io_executor& executor, const asio::ip::tcp::endpoint& endpoint);
 
-    // Called once when an open channel ends without close().
+    // Called once when an open channel ends between exchanges; within one, its handler learns of it.
     void onClosed(closed_handler handler) { m_onClosed = std::move(handler); }
 
+    // Makes the kernel end the connection when the peer has not acknowledged anything for about three seconds. For
+    // connections that wait long for an answer; to be called before open().
+    void probePeer() { m_probePeer = true; }
+
     void open(milliseconds timeout, open_handler handler);
 
     // Sends one request, already serialized, and passes on its whole reply. A reply is whole when its length was met, or
@@ -82,6 +86,7 @@
     asio::steady_timer m_openTimer;
     asio::ip::tcp::endpoint m_endpoint;
     state m_state = state::created;
+    bool m_probePeer = false;
     bool m_busy = false;
     bool m_isHead = false;
     bool m_written = false;
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -17,11 +17,9 @@
 
 constexpr milliseconds maintenanceInterval { 50 };
 
-// The operator's keys change seldom and must be known at once. A watch that went silent ends with its wait.
-constexpr follow_policy operatorPolicy { milliseconds(2000), milliseconds(0) };
-
-// Searchers' entries change often; changes of this pause come in one call.
-constexpr follow_policy searcherPolicy { milliseconds(2000), milliseconds(400) };
+// All keys are followed by one watch, as each call is priced. Its connection is probed, so a long wait hides no silence;
+// changes of the pause come in one call, well within the bounds for configurations and draining.
+constexpr follow_policy storePolicy { milliseconds(25'000), milliseconds(700) };
 
 // A client that came before there is a configuration should come back after this.
 constexpr milliseconds retryWhileStarting { 300 };
@@ -48,15 +46,11 @@
     , m_share(m_settings.node, {})
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
     , m_context { io.get_executor(), protocol, m_fleet, [this](const run_report& ended) { report(ended); }, 0 }
-    , m_operatorKeys(io.get_executor(), store, protocol.operatorPrefix(), operatorPolicy,
-          { [this](const std::vector<store_item>& items, bool) { replaceOperator(items); }, [this](const store_item& item, bool) { applyOperator(item); },
-              [](bool reachable) { logEvent(reachable ? event::store_up : event::store_down, "keys=operator"); } })
-    , m_searcherKeys(io.get_executor(), store, protocol.searcherPrefix(), searcherPolicy,
-          { [this](const std::vector<store_item>& items, bool afterOutage) { replaceSearchers(items, afterOutage); },
-              [this](const store_item& item, bool afterOutage) { applySearcher(item, afterOutage); },
-              [](bool reachable) { logEvent(reachable ? event::store_up : event::store_down, "keys=searchers"); } })
-    , m_membership(io.get_executor(), store, m_settings.node, m_settings.peerAddress, m_settings.memberLife,
-          [this](const std::vector<node_id>& members) { changeMembers(members); })
+    , m_store(io.get_executor(), store, {}, storePolicy,
+          { [this](const std::vector<store_item>& items, bool afterOutage) { replaceView(items, afterOutage); },
+              [this](const store_item& item, bool afterOutage) { applyChange(item, afterOutage); },
+              [](bool reachable) { logEvent(reachable ? event::store_up : event::store_down, ""); } })
+    , m_membership(io.get_executor(), store, m_settings.node, m_settings.peerAddress, m_settings.memberLife)
     , m_clients(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readiness(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
     , m_maintenance(io)
@@ -67,8 +61,7 @@
 
 void gateway::start()
 {
-    m_operatorKeys.start();
-    m_searcherKeys.start();
+    m_store.start();
     m_membership.start();
     maintain();
     m_signals.async_wait([this](const boost::system::error_code& error, int) {
@@ -98,6 +91,7 @@
 
 void gateway::route(std::shared_ptr<client_request> request, client_call call)
 {
+    refreshFleet();
     const auto* rule = m_table->find(request->host, request->message.target);
     if (rule == nullptr) {
         call.answer(m_protocol.encodeFailure(statusNotFound, "no route for this host and path", {}));
@@ -114,7 +108,7 @@
 
 void gateway::handleReady(client_call call)
 {
-    const bool ready = !m_stopping && m_table && m_searcherKeys.hasRead() && !isLost();
+    const bool ready = !m_stopping && m_table && m_store.hasRead() && !isLost();
     if (m_stopping)
         ++m_unreadyAnswers;
     http_reply reply;
@@ -126,7 +120,7 @@
 // Cut off from the store for a while, and the searchers known are gone: others serve better.
 bool gateway::isLost() const
 {
-    return !m_searcherKeys.isReachable() && monotonic_clock::now() - m_searcherKeys.lastAnswer() > staleAfter && !m_fleet.canServe(*m_table);
+    return !m_store.isReachable() && monotonic_clock::now() - m_store.lastAnswer() > staleAfter && !m_fleet.canServe(*m_table);
 }
 
 void gateway::report(const run_report& ended)
@@ -139,15 +133,35 @@
             + " missing=" + std::to_string(ended.missingParts) + " parts=" + std::to_string(ended.parts));
 }
 
-void gateway::replaceOperator(const std::vector<store_item>& items)
+void gateway::replaceView(const std::vector<store_item>& items, bool afterOutage)
 {
     m_evacuated.clear();
-    for (const auto& item : items)
-        applyOperator(item);
+    m_membership.clear();
+    std::vector<searcher_entry> entries;
+    for (const auto& item : items) {
+        if (!item.key.starts_with(m_protocol.searcherPrefix()))
+            applyChange(item, afterOutage);
+        else if (auto entry = readSearcher(item))
+            entries.push_back(std::move(*entry));
+    }
+    m_directory.replaceAll(entries, monotonic_clock::now(), afterOutage);
     m_fleetChanged = true;
+    changeMembers();
     refreshFleet();
 }
 
+void gateway::applyChange(const store_item& item, bool afterOutage)
+{
+    if (item.key.starts_with(m_protocol.operatorPrefix()))
+        applyOperator(item);
+    else if (item.key.starts_with(m_protocol.searcherPrefix()))
+        applySearcher(item, afterOutage);
+    else if (membership::owns(item.key)) {
+        m_membership.apply(item);
+        m_membersChanged = true;
+    }
+}
+
 void gateway::applyOperator(const store_item& item)
 {
     const auto evacuation = m_protocol.evacuationPrefix();
@@ -162,7 +176,6 @@
         logEvent(event::evacuation_changed, "zone=" + zone.value() + " empty=" + (item.removed ? "no" : "yes"));
     }
     m_fleetChanged = true;
-    refreshFleet();
 }
 
 void gateway::adoptTable(const std::string& text)
@@ -205,21 +218,10 @@
     }
 }
 
-void gateway::replaceSearchers(const std::vector<store_item>& items, bool afterOutage)
-{
-    std::vector<searcher_entry> entries;
-    for (const auto& item : items) {
-        if (auto entry = readSearcher(item))
-            entries.push_back(std::move(*entry));
-    }
-    m_directory.replaceAll(entries, monotonic_clock::now(), afterOutage);
-    m_fleetChanged = true;
-    refreshFleet();
-}
-
-void gateway::changeMembers(const std::vector<node_id>& members)
+void gateway::changeMembers()
 {
-    member_share share(m_settings.node, members);
+    member_share share(m_settings.node, m_membership.names());
+    m_membersChanged = false;
     if (share.members() != m_share.members())
         logEvent(event::members_changed, "members=" + std::to_string(share.members()));
     m_share = std::move(share);
@@ -238,6 +240,8 @@
 {
     const auto now = monotonic_clock::now();
     m_fleetChanged = m_directory.expire(now) || m_fleetChanged;
+    if (m_membersChanged)
+        changeMembers();
     refreshFleet();
     m_fleet.maintain(now);
     m_maintenance.expires_after(maintenanceInterval);
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "limpetpier/coordination/traffic_split.h"
+#include "limpetpier/transport/store_follower.h"
 #include "membership.h"
 #include "request_run.h"
 
@@ -39,13 +40,13 @@
     [[nodiscard]] bool isLost() const;
     void report(const run_report& report);
 
+    void replaceView(const std::vector<store_item>& items, bool afterOutage);
+    void applyChange(const store_item& item, bool afterOutage);
     void applyOperator(const store_item& item);
-    void replaceOperator(const std::vector<store_item>& items);
     void adoptTable(const std::string& text);
     void applySearcher(const store_item& item, bool afterOutage);
-    void replaceSearchers(const std::vector<store_item>& items, bool afterOutage);
     std::optional<searcher_entry> readSearcher(const store_item& item) const;
-    void changeMembers(const std::vector<node_id>& members);
+    void changeMembers();
     void refreshFleet();
 
     void maintain();
@@ -63,8 +64,7 @@
     run_context m_context;
     std::map<std::string, route_record> m_records; // by route name
     std::map<std::string, traffic_split> m_splits; // by route name
-    store_follower m_operatorKeys;
-    store_follower m_searcherKeys;
+    store_follower m_store;
     membership m_membership;
     client_listener m_clients;
     client_listener m_readiness;
@@ -72,6 +72,7 @@
     asio::steady_timer m_stopTimer;
     asio::signal_set m_signals;
     bool m_fleetChanged = false;
+    bool m_membersChanged = false;
     bool m_stopping = false;
     bool m_draining = false; // the balancer has taken this process out
     monotonic_time m_drainedAt {}; // no new request is expected after this
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -22,7 +22,7 @@
 constexpr std::chrono::seconds rereadInterval { 5 };
 
 // Time to live in the member list, in multiples of the store's shortest.
-constexpr int memberLifeFactor = 6;
+constexpr int memberLifeFactor = 15;
 
 gateway_settings toGatewaySettings(const platform::node_settings& node)
 {
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -10,26 +10,19 @@
 constexpr int renewalsPerLife = 3;
 constexpr milliseconds retryDelay { 700 };
 
-// Members come and go seldom, and a late change costs little.
-constexpr follow_policy memberPolicy { milliseconds(20'000), milliseconds(500) };
-
 } // namespace
 
-membership::membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, milliseconds timeToLive, change_handler onChange)
+membership::membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, milliseconds timeToLive)
     : m_store(store)
-    , m_follower(executor, store, memberKeys, memberPolicy,
-          { [this](const std::vector<store_item>& items, bool) { replace(items); }, [this](const store_item& item, bool) { change(item); }, [](bool) {} })
     , m_timer(executor)
     , m_self(std::move(self))
     , m_peerAddress(std::move(peerAddress))
     , m_timeToLive(timeToLive)
-    , m_onChange(std::move(onChange))
 {
 }
 
 void membership::start()
 {
-    m_follower.start();
     acquire();
 }
 
@@ -89,27 +82,23 @@
     });
 }
 
-void membership::replace(const std::vector<store_item>& items)
+bool membership::owns(const std::string& key) { return key.starts_with(memberKeys); }
+
+void membership::apply(const store_item& item)
 {
-    m_members.clear();
-    for (const auto& item : items)
-        m_members[node_id(item.key.substr(std::string_view(memberKeys).size()))] = item.value;
-    change({});
+    const node_id node(item.key.substr(std::string_view(memberKeys).size()));
+    if (item.removed)
+        m_members.erase(node);
+    else
+        m_members[node] = item.value;
 }
 
-void membership::change(const store_item& item)
+std::vector<node_id> membership::names() const
 {
-    if (!item.key.empty()) {
-        const node_id node(item.key.substr(std::string_view(memberKeys).size()));
-        if (item.removed)
-            m_members.erase(node);
-        else
-            m_members[node] = item.value;
-    }
-    std::vector<node_id> names;
+    std::vector<node_id> result;
     for (const auto& [name, address] : m_members)
-        names.push_back(name);
-    m_onChange(names);
+        result.push_back(name);
+    return result;
 }
 
 } // namespace limpetpier
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <netinet/tcp.h>
 
 namespace limpetpier {
 
@@ -17,6 +18,21 @@
 // Idle connections are given up this long before the peer's stated limit, for the way of a request to it.
 constexpr milliseconds idleMargin { 500 };
 
+// Probes of an idle connection: after this silence, this far apart, and so many until it is given up.
+constexpr int probeAfterSeconds = 1;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 2;
+
+void setProbes(asio::ip::tcp::socket& socket)
+{
+    const auto set = [&socket](int option, int value) { setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value); };
+    beast::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    set(TCP_KEEPIDLE, probeAfterSeconds);
+    set(TCP_KEEPINTVL, probeIntervalSeconds);
+    set(TCP_KEEPCNT, probeCount);
+}
+
 // From "timeout=N" of a Keep-Alive field, in seconds.
 std::optional<std::int64_t> statedIdleSeconds(std::string_view field)
 {
@@ -70,6 +86,8 @@
         beast::error_code ignored;
         if (!error)
             self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        if (!error && self->m_probePeer)
+            setProbes(self->m_socket);
         settle(!error);
     });
 }
@@ -196,7 +214,7 @@
     const auto self = shared_from_this();
     if (handler)
         handler(std::move(result));
-    if (closed && m_onClosed)
+    else if (closed && m_onClosed)
         std::exchange(m_onClosed, nullptr)();
 }
 
--- /dev/null
+++ b/test/gateway_view_test.cc
@@ -0,0 +1,150 @@
+#include <catch2/catch.hpp>
+
+#include "standins/gateway_fixture.h"
+
+using namespace limpetpier;
+using standins::searcher_mood;
+using standins::store_mood;
+
+namespace {
+
+// A change in the store must be known well within the bounds of configuration and draining, the least of which is 3 s.
+constexpr milliseconds viewDelay { 1500 };
+
+constexpr const char* newRoute = R"(,{"name":"new","host":"h.example","prefix":"/new/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"a","maxAttempts":2})";
+
+// Service "a" with two searchers, configuration 5.
+class view_fixture : public standins::gateway_fixture {
+public:
+    view_fixture()
+    {
+        addSearcher("a", "a1", "z");
+        addSearcher("a", "a2", "z");
+        configure(5);
+        startReady();
+    }
+
+    std::size_t arrivalsAt(const std::string& id, int requests)
+    {
+        const auto before = searchers[id]->arrivals();
+        for (int request = 0; request < requests; ++request)
+            ask("/safe/x", "id" + std::to_string(++m_requests));
+        return searchers[id]->arrivals() - before;
+    }
+
+private:
+    int m_requests = 0;
+};
+
+} // namespace
+
+TEST_CASE("A new configuration is in force once it is in the store")
+{
+    view_fixture fixture;
+    CHECK(fixture.ask("/new/x", "id1").reply.status == 404);
+    fixture.configure(6, newRoute);
+    fixture.run(viewDelay);
+    CHECK(fixture.ask("/new/x", "id2").reply.status == 200);
+}
+
+TEST_CASE("A configuration never goes back to an older version")
+{
+    view_fixture fixture;
+    fixture.configure(6, newRoute);
+    fixture.run(viewDelay);
+    fixture.configure(4);
+    fixture.run(viewDelay);
+    CHECK(fixture.ask("/new/x", "id1").reply.status == 200);
+}
+
+TEST_CASE("A configuration that cannot be read leaves the last one in force")
+{
+    view_fixture fixture;
+    fixture.store.put("op/config", "{\"version\":9,\"routes\":7");
+    fixture.run(viewDelay);
+    CHECK(fixture.ask("/safe/x", "id1").reply.status == 200);
+}
+
+TEST_CASE("While the store is away requests are served as before")
+{
+    view_fixture fixture;
+    const auto mood = GENERATE(store_mood::rejecting, store_mood::silent, store_mood::losing);
+    fixture.store.setMood(mood);
+    fixture.run(milliseconds(700));
+    CHECK(fixture.ask("/safe/x", "id1").reply.status == 200);
+    CHECK(fixture.isReady());
+}
+
+TEST_CASE("What changed while the store was away is known after its return")
+{
+    view_fixture fixture;
+    fixture.store.setMood(store_mood::rejecting);
+    fixture.run(milliseconds(300));
+    fixture.configure(6, newRoute);
+    fixture.store.setMood(store_mood::well);
+    CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }));
+}
+
+TEST_CASE("A store that forgot its history is read anew")
+{
+    view_fixture fixture;
+    fixture.configure(6, newRoute);
+    fixture.store.compact();
+    CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }));
+}
+
+TEST_CASE("A draining searcher gets no more requests")
+{
+    view_fixture fixture;
+    fixture.store.put("servers/a1", fixture.searchers["a1"]->entry("a", "z1", "draining"));
+    fixture.run(viewDelay);
+    CHECK(fixture.arrivalsAt("a1", 6) == 0);
+}
+
+TEST_CASE("The searchers of a zone that is to be emptied get no more requests")
+{
+    view_fixture fixture;
+    fixture.store.put("servers/a1", fixture.searchers["a1"]->entry("a", "z2"));
+    fixture.store.put("op/evacuate/z2", "{}");
+    fixture.run(viewDelay);
+    CHECK(fixture.arrivalsAt("a1", 6) == 0);
+
+    SECTION("and are asked how cold they are before they get any again")
+    {
+        fixture.searchers["a1"]->setCold(4000);
+        fixture.store.remove("op/evacuate/z2");
+        fixture.run(viewDelay);
+        CHECK(fixture.searchers["a1"]->healthChecks() > 0);
+        CHECK(fixture.arrivalsAt("a1", 8) <= 4);
+    }
+}
+
+TEST_CASE("A cold searcher gets no more than its allowance")
+{
+    view_fixture fixture;
+    fixture.store.put("servers/a1", fixture.searchers["a1"]->entry("a", "z1", "ready", 3000));
+    fixture.run(viewDelay);
+    fixture.searchers["a2"]->setMood(searcher_mood::shedding);
+    CHECK(fixture.arrivalsAt("a1", 12) <= 4);
+}
+
+TEST_CASE("A searcher whose connections broke is asked for its name before it is used again")
+{
+    view_fixture fixture;
+    fixture.searchers["a1"]->setMood(searcher_mood::resetting);
+    fixture.ask("/safe/x", "id1");
+    fixture.ask("/safe/x", "id2");
+    fixture.searchers["a1"]->setMood(searcher_mood::well);
+    fixture.run(milliseconds(500));
+    CHECK(fixture.searchers["a1"]->healthChecks() > 0);
+}
+
+TEST_CASE("Entries of another writer are set aside and harm no other")
+{
+    view_fixture fixture;
+    fixture.store.put("servers/forged1", "\xFF\xFE not json");
+    fixture.store.put("servers/forged2", R"({"service":"a"})");
+    fixture.store.put("servers/forged3", R"({"service":"a","address":"nowhere","zone":"z1","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"seq":1})");
+    fixture.run(viewDelay);
+    CHECK(fixture.ask("/safe/x", "id1").reply.status == 200);
+}
--- /dev/null
+++ b/test/standins/gateway_fixture.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+
+#include "gateway.h"
+#include "kv_store.h"
+#include "platform_searcher.h"
+#include "platform_store.h"
+#include "wire_protocol.h"
+
+namespace limpetpier::standins {
+
+// One gateway before a stand-in store and stand-in searchers, all in this process, on loopback ports of its own.
+class gateway_fixture {
+public:
+    // What came back for one request.
+    struct answer {
+        bool arrived = false;
+        http_reply reply;
+        milliseconds elapsed { 0 };
+    };
+
+    gateway_fixture()
+        : store(io)
+    {
+    }
+
+    // Adds a searcher and lists it in the store.
+    platform_searcher& addSearcher(const std::string& service, const std::string& id, const std::string& records, const std::string& state = "ready", int coldLeftMs = 0)
+    {
+        auto& searcher = searchers[id];
+        searcher = std::make_unique<platform_searcher>(io, id, records);
+        store.put("servers/" + id, searcher->entry(service, "z1", state, coldLeftMs));
+        return *searcher;
+    }
+
+    // Writes a configuration with a query over the services "a", "b" and "c", a safe and an unsafe lookup of "a".
+    void configure(std::uint64_t version, const std::string& extraRoutes = "")
+    {
+        std::string services;
+        for (const auto* name : { "a", "b", "c" })
+            services += std::string(services.empty() ? "" : ",") + R"({"name":")" + name + R"(","healthPath":"/healthz","maxConns":20,"warmupS":3.0,"coldPerS":0.0})";
+        store.put("op/config", R"({"version":)" + std::to_string(version) + R"(,"routes":[
+            {"name":"query","host":"h.example","prefix":"/query/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"gather":["a","b","c"],"maxAttempts":2,"topK":3,"minCoverage":0.6},
+            {"name":"safe","host":"h.example","prefix":"/safe/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"a","maxAttempts":2},
+            {"name":"unsafe","host":"h.example","prefix":"/unsafe/","type":"unsafe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"a","maxAttempts":2})"
+                + extraRoutes + R"(],"services":[)" + services + R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":500,"idleTimeoutMs":5000}})");
+    }
+
+    void startGateway()
+    {
+        settings.node = node_id("node-1");
+        settings.zone = data_centre_id("z1");
+        settings.clientAddress = freeAddress();
+        settings.readyAddress = freeAddress();
+        settings.peerAddress = freeAddress();
+        settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, 5 };
+        settings.stopGrace = milliseconds(1500);
+        process = std::make_unique<gateway>(io, protocol, client, settings);
+        process->start();
+    }
+
+    // Starts the gateway and waits until it is ready and its connections stand.
+    void startReady()
+    {
+        startGateway();
+        REQUIRE(runUntil([&] { return isReady(); }));
+        run(milliseconds(120));
+    }
+
+    void run(milliseconds duration)
+    {
+        io.restart();
+        io.run_for(duration);
+    }
+
+    template <typename Condition>
+    bool runUntil(Condition condition, milliseconds longest = milliseconds(3000))
+    {
+        const auto end = monotonic_clock::now() + longest;
+        while (!condition()) {
+            if (monotonic_clock::now() >= end)
+                return false;
+            run(milliseconds(2));
+        }
+        return true;
+    }
+
+    // Sends raw bytes over a new connection and reads one reply; nothing if the connection ends without one.
+    answer exchange(const std::string& address, const std::string& bytes, milliseconds longest = milliseconds(1500))
+    {
+        auto result = std::make_shared<answer>();
+        auto over = std::make_shared<bool>(false);
+        const auto begin = monotonic_clock::now();
+        const auto channel = http_channel::create(io.get_executor(), parseTcpEndpoint(address));
+        channel->open(milliseconds(500), [&, channel, result, over](bool opened) {
+            if (!opened) {
+                *over = true;
+                return;
+            }
+            channel->exchange(bytes, false, {}, [result, over, begin](exchange_result got) {
+                result->arrived = got.stage == exchange_stage::replied;
+                result->reply = std::move(got.reply);
+                result->elapsed = std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - begin);
+                *over = true;
+            });
+        });
+        runUntil([&] { return *over; }, longest);
+        channel->close();
+        return *result;
+    }
+
+    static std::string request(const std::string& path, const std::string& id, const std::string& method = "GET", int deadlineMs = 400)
+    {
+        return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(deadlineMs) + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    answer ask(const std::string& path, const std::string& id, const std::string& method = "GET", int deadlineMs = 400)
+    {
+        return exchange(settings.clientAddress, request(path, id, method, deadlineMs));
+    }
+
+    bool isReady() { return exchange(settings.readyAddress, "GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n").reply.status == 200; }
+
+    std::string freeAddress()
+    {
+        boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 });
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    boost::asio::io_context io { 1 };
+    platform_store store;
+    std::map<std::string, std::unique_ptr<platform_searcher>> searchers;
+    platform::wire_protocol protocol;
+    platform::kv_store client { io.get_executor(), store.address(), milliseconds(300) };
+    gateway_settings settings;
+    std::unique_ptr<gateway> process;
+};
+
+} // namespace limpetpier::standins
--- /dev/null
+++ b/test/standins/platform_store.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "raw_server.h"
+
+namespace limpetpier::standins {
+
+// What the store does with calls.
+enum class store_mood : std::uint8_t {
+    well,
+    rejecting, // 503, nothing is done
+    silent, // takes calls and never answers
+    losing, // writes are done, and their connections closed without an answer
+};
+
+// Stand-in of the platform's key-value store, speaking its protocol on a loopback port.
+class platform_store {
+public:
+    explicit platform_store(boost::asio::io_context& io, unsigned short port = 0);
+
+    // Changes as the operator and the searchers make them.
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    void setMood(store_mood mood) { m_mood = mood; }
+
+    // Forgets the history: watches from before are answered with 410.
+    void compact();
+
+    [[nodiscard]] std::string address() const { return m_server.address(); }
+    [[nodiscard]] std::size_t calls() const { return m_calls; }
+    [[nodiscard]] bool holds(const std::string& key) const { return m_items.contains(key); }
+
+private:
+    struct item {
+        std::string value; // base64
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+    struct change {
+        std::string key;
+        item state;
+        bool deleted = false;
+    };
+    struct waiting_watch {
+        std::string prefix;
+        std::uint64_t after = 0;
+        raw_exchange_handle exchange;
+    };
+
+    void handle(const http_request& request, const raw_exchange_handle& exchange);
+    void range(const std::string& prefix, const raw_exchange_handle& exchange);
+    void watch(const std::string& prefix, std::uint64_t after, long waitMs, const raw_exchange_handle& exchange);
+    bool answerWatch(const waiting_watch& watch, bool evenIfEmpty);
+    void transact(const std::string& body, const raw_exchange_handle& exchange);
+    void store(const std::string& key, const std::string& encoded, std::uint64_t lease);
+    void wake();
+    void answer(const raw_exchange_handle& exchange, unsigned status, const std::string& body, bool isWrite = false);
+
+    boost::asio::io_context& m_io;
+    raw_server m_server;
+    store_mood m_mood = store_mood::well;
+    std::map<std::string, item> m_items;
+    std::deque<change> m_history;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_forgotten = 0; // changes up to this revision are gone
+    std::uint64_t m_leases = 0;
+    std::size_t m_calls = 0;
+    std::vector<waiting_watch> m_watches;
+};
+
+} // namespace limpetpier::standins
