Structured log on standard output, metrics, explain and summary

Cause: a failed request left no trace that leads to its cause. Change: events of requests and of changed beliefs with id, inputs, age and outcome; lines and bytes a second are bounded, failures before routine; a reader that stands still costs nothing. Boost.Log writes through a bounded writer that polls before it writes.

--- a/include/limpetpier/transport/metrics.h
+++ b/include/limpetpier/transport/metrics.h
@@ -6,9 +6,12 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <initializer_list>
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace limpetpier {
 
@@ -24,14 +27,26 @@
     auto operator<=>(const metric_labels&) const = default;
 };
 
+// The labels of one series, as they are written.
+class metric_series {
+public:
+    metric_series(const metric_labels& labels);
+    metric_series(std::initializer_list<std::pair<std::string_view, std::string_view>> labels);
+
+    [[nodiscard]] const std::string& text() const { return m_text; }
+
+private:
+    std::string m_text;
+};
+
 // Counters, gauges and latency histograms of one process in the Prometheus text format. Its mutex is a leaf.
 //
 //     metrics.observe("limpet_request_seconds", { "tranchet", "comptoir", "answered" }, 0.009);
 //     reply.body = metrics.render();
 class metrics_registry {
 public:
-    void observe(const std::string& name, const metric_labels& labels, double seconds);
-    void add(const std::string& name, const metric_labels& labels, double amount);
+    void observe(const std::string& name, const metric_series& series, double seconds);
+    void add(const std::string& name, const metric_series& series, double amount);
     void set(const std::string& name, double value);
 
     [[nodiscard]] std::string render() const;
@@ -43,8 +58,8 @@
     };
 
     mutable std::mutex m_mutex;
-    std::map<std::string, std::map<metric_labels, histogram>> m_histograms;
-    std::map<std::string, std::map<metric_labels, double>> m_counters;
+    std::map<std::string, std::map<std::string, histogram>> m_histograms;
+    std::map<std::string, std::map<std::string, double>> m_counters;
     std::map<std::string, double> m_gauges;
 };
 
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -10,6 +10,7 @@
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/http.h"
 #include "limpetpier/transport/settings.h"
+#include "log_story.h"
 
 namespace limpetpier {
 
@@ -37,6 +38,8 @@
   data-centre NAME out|in      take a data centre out of service, or back
   drain SEARCHER [undo]        give a searcher no new work
   status                       print epoch, revision and readiness of the nodes in --nodes
+  explain REQUEST FILE...      tell from processes' logs what happened to one request, and why
+  summary FILE...              count outcomes in processes' logs; --plot FILE draws them over time as SVG
 The credential of the section is read from LIMPET_CREDENTIAL. FILE may be - for standard input.
 Exit codes: 0 done, 2 usage, 3 invalid document, 4 conflict, 5 credential, 6 store or node unavailable,
 7 accepted but not in force on every node in time.)";
@@ -48,6 +51,7 @@
         { "nodes", "", "IP:port list of the HTTP ports of nodes", setting_kind::text, false, 0, 0, false },
         { "based-on", "", "Version of the section that the edit was made from; without it, the present one", setting_kind::number, false, 0, INT32_MAX, false },
         { "wait-ms", "0", "Time to wait until the edit is in force on --nodes, in milliseconds", setting_kind::number, true, 0, 600'000, false },
+        { "plot", "", "File for the plot of summary, as SVG", setting_kind::text, false, 0, 0, false },
         { "format", "text", "text or json", setting_kind::text, true, 0, 0, false },
         { "credential", "", "Credential of the section's team", setting_kind::text, false, 0, 0, true },
     };
@@ -121,6 +125,12 @@
             co_return co_await drain();
         if (command == "status")
             co_return co_await status();
+        if (command == "explain") {
+            std::cout << explainRequest(readLogs(2), argument(1, "a request id"));
+            co_return EXIT_SUCCESS;
+        }
+        if (command == "summary")
+            co_return summary();
         throw usage_error("unknown command '" + command + "'\n" + usage);
     }
 
@@ -139,6 +149,27 @@
         return { m_io.get_executor(), m_settings.text("store") };
     }
 
+    std::vector<log_entry> readLogs(std::size_t firstFile) const
+    {
+        argument(firstFile, "a log file");
+        std::vector<log_entry> entries;
+        for (std::size_t position = firstFile; position < m_settings.positional().size(); ++position) {
+            std::istringstream text(readFile(m_settings.positional()[position]));
+            auto read = readLog(text);
+            std::move(read.begin(), read.end(), std::back_inserter(entries));
+        }
+        return entries;
+    }
+
+    int summary() const
+    {
+        const auto entries = readLogs(1);
+        std::cout << summarizeOutcomes(entries);
+        if (const auto& path = m_settings.text("plot"); !path.empty() && !(std::ofstream(path) << plotOutcomes(entries)))
+            throw usage_error("--plot: file " + path + " cannot be written; check the path");
+        return EXIT_SUCCESS;
+    }
+
     void print(const std::string& text, const json::object& structured) const
     {
         std::cout << (m_json ? json::serialize(structured) : text) << "\n";
--- a/programs/dispatch/search_service.cc
+++ b/programs/dispatch/search_service.cc
@@ -78,7 +78,7 @@
         if (result.serviceTime.count() > 0)
             m_metrics.observe("limpet_service_seconds", labels, std::chrono::duration<double>(result.serviceTime).count());
         else
-            m_metrics.add("limpet_refused_sub_requests_total", { labels.tenant, labels.front, std::string(toText(result.why)) }, 1);
+            m_metrics.add("limpet_refused_sub_requests_total", metric_labels { labels.tenant, labels.front, std::string(toText(result.why)) }, 1);
         {
             const std::lock_guard lock(m_mutex);
             m_jobs.erase(key);
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -49,7 +49,7 @@
     , m_store(io.get_executor(), store, {}, storePolicy,
           { [this](const std::vector<store_item>& items, bool afterOutage) { replaceView(items, afterOutage); },
               [this](const store_item& item, bool afterOutage) { applyChange(item, afterOutage); },
-              [](bool reachable) { logEvent(reachable ? event::store_up : event::store_down, ""); } })
+              [this](bool reachable) { handleStore(reachable); } })
     , m_membership(io.get_executor(), store, m_settings.node, m_settings.peerAddress, m_settings.memberLife)
     , m_clients(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readiness(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
@@ -59,8 +59,18 @@
 {
 }
 
+void gateway::handleStore(bool reachable)
+{
+    m_metrics.recordStoreAnswer(reachable);
+    logEvent(reachable ? event::store_up : event::store_down, event_fields().add("view_age_ms", viewAge()));
+}
+
 void gateway::start()
 {
+    if (!m_settings.metricsAddress.empty()) {
+        m_scrapes = std::make_unique<client_listener>(m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
+            [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); });
+    }
     m_store.start();
     m_membership.start();
     maintain();
@@ -94,10 +104,14 @@
     refreshFleet();
     const auto* rule = m_table->find(request->host, request->message.target);
     if (rule == nullptr) {
+        if (isLogged(event::request_unrouted))
+            logEvent(event::request_unrouted, event_fields().add("request", request->id).add("host", request->host).add("target", request->message.target).add("table", m_table->version().value()).add("view_age_ms", viewAge()));
         call.answer(m_protocol.encodeFailure(statusNotFound, "no route for this host and path", {}));
         return;
     }
     const auto now = monotonic_clock::now();
+    if (isLogged(event::request_begun))
+        logEvent(event::request_begun, event_fields().add("request", request->id).add("route", rule->name).add("table", m_table->version().value()).add("time_left_ms", request->timeLeft.value_or(rule->timeout)).add("view_age_ms", viewAge()));
     const auto timeLeft = std::min(rule->timeout, request->timeLeft.value_or(rule->timeout));
     run_request run { std::move(request), m_table, rule, &m_records[rule->name], now, now + timeLeft, std::move(call) };
     if (rule->isQuery())
@@ -106,17 +120,56 @@
         startSingleRun(m_context, std::move(run), m_splits[rule->name].next(*rule));
 }
 
+bool gateway::isReady() const
+{
+    return !m_stopping && m_table && m_store.hasRead() && !isLost();
+}
+
 void gateway::handleReady(client_call call)
 {
-    const bool ready = !m_stopping && m_table && m_store.hasRead() && !isLost();
+    const bool ready = isReady();
     if (m_stopping)
         ++m_unreadyAnswers;
+    if (ready != m_saidReady)
+        logEvent(event::readiness_changed, event_fields().add("ready", ready ? "yes" : "no").add("stopping", m_stopping ? "yes" : "no").add("view_age_ms", viewAge()));
+    m_saidReady = ready;
     http_reply reply;
     reply.status = ready ? 200 : statusUnavailable;
     reply.body = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
     call.answer(std::move(reply));
 }
 
+void gateway::handleMetrics(const http_request& request, client_call call)
+{
+    http_reply reply;
+    if (request.target != "/metrics") {
+        reply.status = statusNotFound;
+        reply.body = "unknown path; use /metrics\n";
+        call.answer(std::move(reply));
+        return;
+    }
+    const auto fleet = m_fleet.count(monotonic_clock::now());
+    gateway_metrics::gauges now;
+    now.running = m_context.running;
+    now.clients = m_clients.connections();
+    now.searchers = fleet.searchers;
+    now.usableSearchers = fleet.usable;
+    now.connections = fleet.connections;
+    now.members = m_share.members();
+    now.tableVersion = m_table ? m_table->version().value() : 0;
+    now.viewAgeSeconds = std::chrono::duration<double>(viewAge()).count();
+    now.ready = isReady();
+    now.extraLeft = m_fleet.extraLeft(monotonic_clock::now());
+    reply.contentType = "text/plain; version=0.0.4";
+    reply.body = m_metrics.render(now);
+    call.answer(std::move(reply));
+}
+
+milliseconds gateway::viewAge() const
+{
+    return m_store.hasRead() ? std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - m_store.lastAnswer()) : milliseconds(-1);
+}
+
 // Cut off from the store for a while, and the searchers known are gone: others serve better.
 bool gateway::isLost() const
 {
@@ -125,12 +178,18 @@
 
 void gateway::report(const run_report& ended)
 {
-    if (ended.outcome == "answered")
+    constexpr unsigned firstFailure = 500;
+    m_metrics.record(ended);
+    const auto id = ended.status >= firstFailure ? event::request_failed : event::request_ended;
+    if (!isLogged(id))
         return;
-    logEvent(event::request_ended,
-        "request=" + ended.requestId + " route=" + ended.route + " outcome=" + ended.outcome + " status=" + std::to_string(ended.status) + " ms=" + std::to_string(ended.elapsed.count())
-            + " sends=" + std::to_string(ended.sends) + " hedges=" + std::to_string(ended.hedges) + " refusals=" + std::to_string(ended.refusals)
-            + " missing=" + std::to_string(ended.missingParts) + " parts=" + std::to_string(ended.parts));
+    event_fields fields;
+    fields.add("request", ended.requestId).add("route", ended.route).add("table", ended.table.value()).add("outcome", ended.outcome).add("status", ended.status).add("ms", ended.elapsed).add("sends", ended.sends).add("hedges", ended.hedges).add("not_run", ended.refusals);
+    if (ended.parts > 0)
+        fields.add("parts", ended.parts).add("missing", ended.missingParts);
+    if (id == event::request_failed)
+        fields.add("view_age_ms", viewAge()).add("members", m_share.members());
+    logEvent(id, fields);
 }
 
 void gateway::replaceView(const std::vector<store_item>& items, bool afterOutage)
@@ -173,7 +232,7 @@
             m_evacuated.erase(zone);
         else
             m_evacuated.insert(zone);
-        logEvent(event::evacuation_changed, "zone=" + zone.value() + " empty=" + (item.removed ? "no" : "yes"));
+        logEvent(event::evacuation_changed, event_fields().add("zone", zone.value()).add("empty", item.removed ? "no" : "yes"));
     }
     m_fleetChanged = true;
 }
@@ -184,11 +243,11 @@
         auto table = std::make_shared<const routing_table>(m_protocol.decodeTable(text));
         if (m_table && table->version() <= m_table->version())
             return;
-        logEvent(event::table_adopted, "version=" + std::to_string(table->version().value()) + " routes=" + std::to_string(table->routes().size()));
+        logEvent(event::table_adopted, event_fields().add("version", table->version().value()).add("before", m_table ? m_table->version().value() : 0).add("routes", table->routes().size()));
         m_table = std::move(table);
         m_clients.changeLimits(m_table->limits());
     } catch (const std::exception& error) {
-        logEvent(event::table_unreadable, std::string("error=\"") + error.what() + "\"");
+        logEvent(event::table_unreadable, event_fields().add("error", error.what()));
     }
 }
 
@@ -199,7 +258,7 @@
         static_cast<void>(parseTcpEndpoint(entry.address));
         return entry;
     } catch (const std::exception& error) {
-        logEvent(event::entry_unreadable, "key=" + item.key + " error=\"" + error.what() + "\"");
+        logEvent(event::entry_unreadable, event_fields().add("key", item.key).add("error", error.what()));
         return {};
     }
 }
@@ -223,7 +282,7 @@
     member_share share(m_settings.node, m_membership.names());
     m_membersChanged = false;
     if (share.members() != m_share.members())
-        logEvent(event::members_changed, "members=" + std::to_string(share.members()));
+        logEvent(event::members_changed, event_fields().add("members", share.members()));
     m_share = std::move(share);
     m_fleetChanged = true;
 }
@@ -244,6 +303,7 @@
         changeMembers();
     refreshFleet();
     m_fleet.maintain(now);
+    flushLog();
     m_maintenance.expires_after(maintenanceInterval);
     m_maintenance.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -253,7 +313,7 @@
 
 void gateway::beginStop()
 {
-    logEvent(event::stopping, "running=" + std::to_string(m_context.running));
+    logEvent(event::stopping, event_fields().add("running", m_context.running));
     m_stopping = true;
     m_stopBegan = monotonic_clock::now();
     m_clients.announceClose();
@@ -268,7 +328,8 @@
     const auto last = m_stopBegan + m_settings.stopGrace - stopReserve;
     const bool out = m_unreadyAnswers >= checksUntilOut || now >= last - 2 * lateArrivals;
     if (m_draining && now >= m_drainedAt && (m_context.running == 0 || now >= last)) {
-        logEvent(event::stopped, "running=" + std::to_string(m_context.running));
+        logEvent(event::stopped, event_fields().add("running", m_context.running).add("ms", std::chrono::duration_cast<milliseconds>(now - m_stopBegan)));
+        flushLog();
         m_io.stop();
         return;
     }
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "gateway_metrics.h"
 #include "limpetpier/coordination/traffic_split.h"
 #include "limpetpier/transport/store_follower.h"
 #include "membership.h"
@@ -18,6 +19,7 @@
     std::string clientAddress; // IP:port
     std::string readyAddress; // IP:port
     std::string peerAddress; // IP:port
+    std::string metricsAddress; // IP:port; empty for none
     shared_bounds bounds;
     milliseconds stopGrace { 6000 }; // from the signal to the forced end
     milliseconds memberLife { 6000 }; // time to live of the entry in the member list
@@ -37,7 +39,11 @@
     void handleRequest(http_request message, client_call call);
     void route(std::shared_ptr<client_request> request, client_call call);
     void handleReady(client_call call);
+    void handleMetrics(const http_request& request, client_call call);
+    [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool isLost() const;
+    [[nodiscard]] milliseconds viewAge() const; // since the store's last answer; negative before the first
+    void handleStore(bool reachable);
     void report(const run_report& report);
 
     void replaceView(const std::vector<store_item>& items, bool afterOutage);
@@ -68,6 +74,9 @@
     membership m_membership;
     client_listener m_clients;
     client_listener m_readiness;
+    std::unique_ptr<client_listener> m_scrapes;
+    gateway_metrics m_metrics;
+    bool m_saidReady = false;
     asio::steady_timer m_maintenance;
     asio::steady_timer m_stopTimer;
     asio::signal_set m_signals;
--- /dev/null
+++ b/programs/gateway/gateway_metrics.cc
@@ -0,0 +1,54 @@
+#include "gateway_metrics.h"
+
+#include <algorithm>
+
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+std::string gateway_metrics::labelOf(const std::string& route)
+{
+    if (m_routes.contains(route))
+        return route;
+    if (m_routes.size() >= mostRoutes)
+        return "other";
+    m_routes.insert(route);
+    return route;
+}
+
+void gateway_metrics::record(const run_report& ended)
+{
+    const auto route = labelOf(ended.route);
+    m_registry.observe("limpet_request_seconds", { { "route", route }, { "outcome", ended.outcome } }, std::chrono::duration<double>(ended.elapsed).count());
+    m_registry.add("limpet_sends_total", { { "route", route } }, ended.sends);
+    m_registry.add("limpet_hedges_total", { { "route", route } }, ended.hedges);
+    m_registry.add("limpet_sends_not_run_total", { { "route", route } }, ended.refusals);
+    m_registry.add("limpet_parts_total", { { "route", route } }, static_cast<double>(ended.parts));
+    m_registry.add("limpet_parts_missing_total", { { "route", route } }, static_cast<double>(ended.missingParts));
+}
+
+void gateway_metrics::recordStoreAnswer(bool reachable)
+{
+    m_registry.add("limpet_store_changes_total", { { "to", reachable ? "reachable" : "unreachable" } }, 1);
+}
+
+std::string gateway_metrics::render(const gauges& now)
+{
+    m_registry.set("limpet_requests_running", static_cast<double>(now.running));
+    m_registry.set("limpet_client_connections", static_cast<double>(now.clients));
+    m_registry.set("limpet_searchers", static_cast<double>(now.searchers));
+    m_registry.set("limpet_searchers_usable", static_cast<double>(now.usableSearchers));
+    m_registry.set("limpet_searcher_connections", static_cast<double>(now.connections));
+    m_registry.set("limpet_members", static_cast<double>(now.members));
+    m_registry.set("limpet_table_version", static_cast<double>(now.tableVersion));
+    m_registry.set("limpet_view_age_seconds", now.viewAgeSeconds);
+    m_registry.set("limpet_ready", now.ready ? 1 : 0);
+    m_registry.set("limpet_log_lines_left_out", static_cast<double>(logLinesLeftOut()));
+    double least = now.extraLeft.empty() ? 0 : now.extraLeft.begin()->second;
+    for (const auto& [service, left] : now.extraLeft)
+        least = std::min(least, left);
+    m_registry.set("limpet_extra_sends_left_least", least);
+    return m_registry.render();
+}
+
+} // namespace limpetpier
--- /dev/null
+++ b/programs/gateway/gateway_metrics.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "limpetpier/transport/metrics.h"
+#include "request_run.h"
+
+namespace limpetpier {
+
+// Counters and latency histograms of a gateway, by route and outcome. Routes beyond the first mostRoutes that had
+// requests share one label, so that the number of series is bounded.
+class gateway_metrics {
+public:
+    void record(const run_report& ended);
+    void recordStoreAnswer(bool reachable);
+
+    // Gauges as of now.
+    struct gauges {
+        std::size_t running = 0;
+        std::size_t clients = 0;
+        std::size_t searchers = 0;
+        std::size_t usableSearchers = 0;
+        std::size_t connections = 0;
+        std::size_t members = 0;
+        std::uint64_t tableVersion = 0;
+        double viewAgeSeconds = 0; // since the store's last answer
+        bool ready = false;
+        std::map<service_id, double> extraLeft; // extra sends left in the window, by service
+    };
+    [[nodiscard]] std::string render(const gauges& now);
+
+    static constexpr std::size_t mostRoutes = 32;
+
+private:
+    std::string labelOf(const std::string& route);
+
+    metrics_registry m_registry;
+    std::set<std::string> m_routes;
+};
+
+} // namespace limpetpier
--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -2,6 +2,7 @@
 
 #include "limpetpier/coordination/gather_policy.h"
 #include "limpetpier/coordination/part_merge.h"
+#include "limpetpier/transport/events.h"
 #include "run_base.h"
 
 namespace limpetpier {
@@ -33,7 +34,7 @@
         const auto now = monotonic_clock::now();
         for (std::size_t index = 0; index < m_parts.size() && !isFinished(); ++index) {
             m_context.fleet.allowance(m_parts[index].service).recordRequest(now);
-            sendPart(index, now);
+            sendPart(index, now, "first");
         }
         settle();
     }
@@ -56,7 +57,7 @@
         searcher_reply reply;
     };
 
-    bool sendPart(std::size_t index, monotonic_time now)
+    bool sendPart(std::size_t index, monotonic_time now, const char* why)
     {
         auto& part = m_parts[index];
         auto* pool = m_context.fleet.choose(part.service, part.tried, now);
@@ -73,6 +74,8 @@
         call->onResult = [self = shared_from_this(), index, call = std::weak_ptr(call), searcher](call_result result) { self->handleResult(index, call.lock(), searcher, std::move(result)); };
         if (first)
             part.firstSend = now;
+        else
+            logResent(part.service, searcher, why, std::chrono::duration_cast<microseconds>(now - part.firstSend));
         part.tried.push_back(searcher);
         part.running.emplace_back(searcher, call);
         part.state = part_state::running;
@@ -88,6 +91,8 @@
         std::erase_if(part.running, [&](const auto& item) { return item.second == call; });
         if (isFinished() || part.state == part_state::done)
             return;
+        if (result.stage != exchange_stage::replied || result.reply.kind != reply_kind::success)
+            logFailed(part.service, searcher, result);
         if (result.certainlyNotRun()) {
             --part.possibleRuns;
             ++m_report.refusals;
@@ -127,7 +132,7 @@
             part.state = part_state::failed;
             return false;
         }
-        return sendPart(index, monotonic_clock::now());
+        return sendPart(index, monotonic_clock::now(), "refused_or_broken");
     }
 
     [[nodiscard]] gather_progress progress() const
@@ -192,9 +197,9 @@
         const auto hedgeAfter = m_request.record->hedgeAfter(*m_request.rule);
         for (std::size_t index = 0; index < m_parts.size() && !isFinished(); ++index) {
             auto& part = m_parts[index];
-            if (part.state == part_state::waiting && !sendPart(index, now) && !m_context.fleet.hasOther(part.service, part.tried))
+            if (part.state == part_state::waiting && !sendPart(index, now, "searcher_back") && !m_context.fleet.hasOther(part.service, part.tried))
                 part.state = part_state::failed;
-            else if (mayHedge(part) && now >= part.firstSend + hedgeAfter && sendPart(index, now))
+            else if (mayHedge(part) && now >= part.firstSend + hedgeAfter && sendPart(index, now, "late"))
                 ++m_report.hedges;
         }
         settle();
@@ -214,6 +219,7 @@
         }
         merged.records = mergeParts(bodies, m_request.rule->topRecords);
         m_report.missingParts = merged.missingParts;
+        logMissing();
         finish(m_context.protocol.encodeMerged(merged), merged.missingParts == 0 ? "answered" : "answered_incomplete");
         releaseAll(loserLinger);
     }
@@ -221,6 +227,7 @@
     void fail(monotonic_time now)
     {
         m_report.missingParts = m_parts.size() - progress().done;
+        logMissing();
         const bool ran = std::any_of(m_parts.begin(), m_parts.end(), [](const auto& part) { return part.possibleRuns > 0; });
         if (!ran)
             finishNotRun("no_searcher", "no searcher took the query; it has not run");
@@ -231,6 +238,34 @@
         releaseAll(loserLinger);
     }
 
+    // One line for each part that the answer lacks: who was asked, and what became of it.
+    void logMissing() const
+    {
+        for (const auto& part : m_parts) {
+            if (part.state == part_state::done || !isLogged(event::part_missing))
+                continue;
+            std::string asked;
+            for (const auto& searcher : part.tried)
+                asked.append(asked.empty() ? "" : ",").append(searcher.value());
+            logEvent(event::part_missing, event_fields().add("request", m_report.requestId).add("service", part.service.value()).add("state", describe(part.state)).add("asked", asked).add("listed", m_context.fleet.count(part.service)));
+        }
+    }
+
+    static const char* describe(part_state state)
+    {
+        switch (state) {
+        case part_state::waiting:
+            return "no_searcher_usable";
+        case part_state::running:
+            return "no_reply_yet";
+        case part_state::done:
+            return "in";
+        case part_state::failed:
+            return "failed";
+        }
+        return "unknown";
+    }
+
     void handleGone()
     {
         finishGone();
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -2,12 +2,15 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <iostream>
 
 #include "gateway.h"
 #include "kv_store.h"
 #include "limpetpier/state/errors.h"
+#include "limpetpier/transport/endpoints.h"
 #include "limpetpier/transport/events.h"
 #include "limpetpier/transport/program.h"
+#include "limpetpier/transport/settings.h"
 #include "node_settings.h"
 #include "wire_protocol.h"
 
@@ -82,9 +85,9 @@
         m_written = std::filesystem::last_write_time(m_path, failure);
         try {
             m_process.changeSettings(toGatewaySettings(platform::readNodeSettings(m_path)));
-            logEvent(event::settings_reloaded, "file=" + m_path);
+            logEvent(event::settings_reloaded, event_fields().add("file", m_path));
         } catch (const settings_error& error) {
-            logEvent(event::settings_invalid, std::string("error=\"") + error.what() + "\"");
+            logEvent(event::settings_invalid, event_fields().add("error", error.what()));
         }
     }
 
@@ -95,18 +98,40 @@
     std::filesystem::file_time_type m_written = std::filesystem::last_write_time(m_path);
 };
 
-int run(int, char**)
+const std::vector<setting>& settingsTable()
 {
-    const auto path = platform::nodeSettingsPath();
+    static const std::vector<setting> table {
+        { "settings", "", "Path of the platform's settings file; without it, the one that the platform names", setting_kind::text, false, 0, 0, false },
+        { "metrics-port", "0", "Port for metrics on the machine's address; 0 for none", setting_kind::number, true, 0, 65535, false },
+        { "log-lines", "400", "Most log lines a second; routine ones get half", setting_kind::number, true, 1, 1'000'000, false },
+        { "log-bytes", "100000", "Most log bytes a second; routine lines get half", setting_kind::number, true, 100, 100'000'000, false },
+        { "check", "no", "yes: read the settings, say what is wrong with them, and end", setting_kind::text, true, 0, 0, false },
+    };
+    return table;
+}
+
+int run(int argc, char** argv)
+{
+    const auto flags = program_settings::read("limpet-gateway", "Answers clients on the platform by asking its searchers.", settingsTable(), argc, argv);
+    const auto path = flags.text("settings").empty() ? platform::nodeSettingsPath() : flags.text("settings");
     const auto node = platform::readNodeSettings(path);
-    startLog(node.node.value());
+    auto settings = toGatewaySettings(node);
+    for (const auto& address : { settings.clientAddress, settings.readyAddress, settings.peerAddress, node.storeAddress })
+        static_cast<void>(parseTcpEndpoint(address));
+    if (flags.text("check") == "yes") {
+        std::cout << path << ": good\n";
+        return EXIT_SUCCESS;
+    }
+    if (flags.number("metrics-port") != 0)
+        settings.metricsAddress = node.ip + ":" + flags.text("metrics-port");
+    startLog(node.node.value(), { static_cast<std::uint32_t>(flags.number("log-lines")), static_cast<std::uint32_t>(flags.number("log-bytes")), false });
     asio::io_context io(1);
     const platform::wire_protocol protocol;
     platform::kv_store store(io.get_executor(), node.storeAddress, storeTimeout);
-    gateway process(io, protocol, store, toGatewaySettings(node));
+    gateway process(io, protocol, store, settings);
     const settings_reader reader(io, path, process);
     process.start();
-    logEvent(event::started, "http=" + node.clientAddress);
+    logEvent(event::started, event_fields().add("http", node.clientAddress).add("metrics", settings.metricsAddress).add("settings", path));
     io.run();
     std::_Exit(EXIT_SUCCESS); // the operating system closes what is open; nothing is kept
 }
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -26,6 +26,7 @@
 struct run_report {
     std::string requestId;
     std::string route;
+    table_version table; // in force when the request came
     std::string outcome;
     unsigned status = 0;
     milliseconds elapsed { 0 };
--- a/programs/gateway/run_base.cc
+++ b/programs/gateway/run_base.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "limpetpier/transport/events.h"
+
 namespace limpetpier {
 
 namespace {
@@ -20,6 +22,30 @@
 
 } // namespace
 
+namespace {
+
+const char* describe(const call_result& result)
+{
+    switch (result.stage) {
+    case exchange_stage::not_written:
+        return "not_sent";
+    case exchange_stage::no_reply:
+        return "connection_ended";
+    case exchange_stage::replied:
+        break;
+    }
+    switch (result.reply.kind) {
+    case reply_kind::not_executed:
+        return "not_executed";
+    case reply_kind::misdirected:
+        return "misdirected";
+    default:
+        return "no_result";
+    }
+}
+
+} // namespace
+
 microseconds route_record::hedgeAfter(const route& route) const
 {
     const microseconds objective = route.objective;
@@ -39,6 +65,7 @@
     ++m_context.running;
     m_report.requestId = m_request.client->id;
     m_report.route = m_request.rule->name;
+    m_report.table = m_request.table->version();
 }
 
 run_base::~run_base() { --m_context.running; }
@@ -63,6 +90,25 @@
     return finish(m_context.protocol.encodeFailure(statusUnavailable, message, retryAfterRefusal), outcome);
 }
 
+void run_base::logResent(const service_id& service, const searcher_id& searcher, const char* why, microseconds waited) const
+{
+    if (!isLogged(event::request_resent))
+        return;
+    logEvent(event::request_resent,
+        event_fields().add("request", m_report.requestId).add("service", service.value()).add("searcher", searcher.value()).add("why", why).add("waited_us", waited.count()).add("hedge_after_us", m_request.record->hedgeAfter(*m_request.rule).count()).add("extra_left", static_cast<std::int64_t>(m_context.fleet.allowance(service).left(monotonic_clock::now()))));
+}
+
+void run_base::logFailed(const service_id& service, const searcher_id& searcher, const call_result& result) const
+{
+    if (!isLogged(event::call_failed))
+        return;
+    event_fields fields;
+    fields.add("request", m_report.requestId).add("service", service.value()).add("searcher", searcher.value()).add("how", describe(result));
+    if (result.stage == exchange_stage::replied)
+        fields.add("status", result.reply.message.status);
+    logEvent(event::call_failed, fields.add("elapsed_us", result.elapsed.count()));
+}
+
 void run_base::finishGone()
 {
     if (!m_finished)
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "limpetpier/transport/events.h"
+
 namespace limpetpier {
 
 namespace {
@@ -25,6 +27,8 @@
     m_services.clear();
     for (const auto& [id, record] : directory.records()) {
         auto& pool = m_pools[id];
+        if (!pool || !(pool->entry() == record.entry))
+            logEvent(event::searcher_listed, event_fields().add("searcher", id.value()).add("service", record.entry.service.value()).add("address", record.entry.address).add("zone", record.entry.zone.value()).add("state", record.entry.draining ? "draining" : "ready").add("cold_ms", record.entry.coldLeft).add("born", record.entry.born));
         if (!pool)
             pool = std::make_unique<searcher_pool>(m_executor, m_protocol, record.entry);
         pool->update(record.entry, record.coldUntil);
@@ -42,6 +46,7 @@
             continue;
         }
         auto entry = item->second->entry();
+        logEvent(event::searcher_gone, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("running", item->second->runningCalls()));
         entry.draining = true; // finishes what runs, takes nothing more
         item->second->update(entry, {});
         m_leaving.push_back(std::move(item->second));
@@ -122,6 +127,20 @@
     return leaving == m_leaving.end() ? nullptr : leaving->get();
 }
 
+std::size_t searcher_fleet::count(const service_id& service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : found->second.size();
+}
+
+std::map<service_id, double> searcher_fleet::extraLeft(monotonic_time now)
+{
+    std::map<service_id, double> result;
+    for (auto& [service, allowance] : m_allowances)
+        result.emplace(service, allowance.left(now));
+    return result;
+}
+
 retry_allowance& searcher_fleet::allowance(const service_id& service)
 {
     return m_allowances.try_emplace(service, m_bounds.retryShare, m_retrySlack, m_bounds.retryWindow).first->second;
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -47,6 +47,12 @@
     // Null once the searcher has left the directory.
     searcher_pool* find(const searcher_id& searcher);
 
+    // Searchers of a service that are listed.
+    [[nodiscard]] std::size_t count(const service_id& service) const;
+
+    // Extra sends left in the window, by service.
+    [[nodiscard]] std::map<service_id, double> extraLeft(monotonic_time now);
+
     retry_allowance& allowance(const service_id& service);
 
     void maintain(monotonic_time now);
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -75,7 +75,7 @@
 void searcher_pool::setEvacuated(bool evacuated)
 {
     if (m_evacuated && !evacuated)
-        doubt(); // it may have become cold meanwhile
+        doubt("evacuation_over"); // it may have become cold meanwhile
     m_evacuated = evacuated;
 }
 
@@ -201,7 +201,7 @@
     if (result.stage == exchange_stage::replied)
         outcome.reply = m_protocol.decodeReply(std::move(result.reply));
     if (outcome.stage == exchange_stage::replied && outcome.reply.kind == reply_kind::misdirected) {
-        doubt();
+        doubt("misdirected");
         failQueue();
     } else if (outcome.stage == exchange_stage::replied) {
         m_retryDelay = firstRetryDelay;
@@ -277,10 +277,12 @@
     // One that says it is ill is asked again; it may be leaving, or wrong about itself.
     const bool ill = !report.healthy && ++m_illAnswers < mostIllAnswers;
     if (report.searcher != m_entry.id || ill) {
+        logEvent(event::searcher_ill, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("answered", report.searcher.value()).add("healthy", report.healthy ? "yes" : "no"));
         m_retryAt = monotonic_clock::now() + longestRetryDelay;
         closeIdle();
         return;
     }
+    logEvent(event::searcher_verified, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("cold_ms", report.coldLeft).add("healthy", report.healthy ? "yes" : "no"));
     m_verified = true;
     m_illAnswers = 0;
     m_retryDelay = firstRetryDelay;
@@ -299,14 +301,14 @@
     m_retryDelay = std::min(longestRetryDelay, m_retryDelay * 2);
     if (std::any_of(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isOpen(); }))
         return;
-    doubt();
+    doubt("connection_failed");
     failQueue();
 }
 
-void searcher_pool::doubt()
+void searcher_pool::doubt(const char* why)
 {
     if (m_verified)
-        logEvent(event::searcher_doubted, "searcher=" + m_entry.id.value() + " service=" + m_entry.service.value());
+        logEvent(event::searcher_doubted, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("why", why));
     m_verified = false;
     closeIdle();
 }
@@ -342,7 +344,7 @@
     // With no connection left it may have been restarted: asked before it is used again.
     const bool noneOpen = std::none_of(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isOpen(); });
     if (noneOpen && m_verified && !m_entry.draining) {
-        doubt();
+        doubt("connection_closed");
         m_retryAt = std::max(m_retryAt, monotonic_clock::now() + firstRetryDelay);
     }
 }
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -69,7 +69,7 @@
     void handleReply(const slot_handle& used, const call_handle& call, exchange_result result);
     void drop(const slot_handle& gone);
     void handleBreak();
-    void doubt();
+    void doubt(const char* why);
     void failQueue();
     void closeIdle();
     void closeAll();
--- a/programs/gateway/single_run.cc
+++ b/programs/gateway/single_run.cc
@@ -42,7 +42,7 @@
             handleTimeout();
             return;
         }
-        const bool sent = trySend(now);
+        const bool sent = trySend(now, "refused_or_broken");
         if (!sent && m_running.empty() && (!m_context.fleet.hasOther(m_service, m_tried) || now >= refuseAt()))
             giveUp();
         else
@@ -52,7 +52,7 @@
     // A client that is refused by then can still be served elsewhere within the objective.
     [[nodiscard]] monotonic_time refuseAt() const { return m_request.arrived + m_request.rule->objective / refusalPart; }
 
-    bool trySend(monotonic_time now)
+    bool trySend(monotonic_time now, const char* why)
     {
         auto* pool = m_context.fleet.choose(m_service, m_tried, now);
         if (pool == nullptr)
@@ -66,6 +66,8 @@
         call->answerBy = m_request.answerBy;
         call->lateAt = now + 2 * m_request.record->hedgeAfter(*m_request.rule);
         const auto searcher = pool->entry().id;
+        if (m_report.sends > 0)
+            logResent(m_service, searcher, why, std::chrono::duration_cast<microseconds>(now - m_lastSend));
         call->onResult = [self = shared_from_this(), call = std::weak_ptr(call), searcher](call_result result) { self->handleResult(call.lock(), searcher, std::move(result)); };
         m_tried.push_back(searcher);
         m_running.emplace_back(searcher, call);
@@ -102,7 +104,7 @@
         } else if (m_running.empty()) {
             sendOrWait();
         } else {
-            if (mayHedge() && trySend(now))
+            if (mayHedge() && trySend(now, "late"))
                 ++m_report.hedges;
             else
                 m_hedgeRefused = true;
@@ -115,6 +117,8 @@
         std::erase_if(m_running, [&](const auto& item) { return item.second == call; });
         if (isFinished())
             return;
+        if (result.stage != exchange_stage::replied || result.reply.kind != reply_kind::success)
+            logFailed(m_service, searcher, result);
         if (result.certainlyNotRun()) {
             --m_possibleRuns;
             ++m_report.refusals;
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -2,14 +2,18 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/log/attributes/clock.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <mutex>
+#include <unistd.h>
+
+#include "limpetpier/transport/bounded_writer.h"
 
 namespace limpetpier {
 
@@ -46,7 +50,19 @@
     event_entry { event::evacuation_changed, event_level::info, "evacuation_changed" },
     event_entry { event::entry_unreadable, event_level::warning, "entry_unreadable" },
     event_entry { event::store_answer_unreadable, event_level::warning, "store_answer_unreadable" },
-    event_entry { event::request_ended, event_level::info, "request_ended" },
+    event_entry { event::searcher_verified, event_level::info, "searcher_verified" },
+    event_entry { event::searcher_listed, event_level::info, "searcher_listed" },
+    event_entry { event::searcher_gone, event_level::info, "searcher_gone" },
+    event_entry { event::searcher_ill, event_level::warning, "searcher_ill" },
+    event_entry { event::request_begun, event_level::info, "request_begun", log_importance::routine },
+    event_entry { event::request_ended, event_level::info, "request_ended", log_importance::routine },
+    event_entry { event::request_failed, event_level::warning, "request_failed" },
+    event_entry { event::request_resent, event_level::info, "request_resent", log_importance::routine },
+    event_entry { event::call_failed, event_level::info, "call_failed", log_importance::routine },
+    event_entry { event::part_missing, event_level::info, "part_missing", log_importance::routine },
+    event_entry { event::request_unrouted, event_level::info, "request_unrouted", log_importance::routine },
+    event_entry { event::readiness_changed, event_level::info, "readiness_changed" },
+    event_entry { event::log_left_out, event_level::warning, "log_left_out" },
 };
 
 boost::log::trivial::severity_level severityOf(event_level level)
@@ -62,6 +78,44 @@
     return boost::log::trivial::error;
 }
 
+// The log of this process; one for all its threads. Its mutex is a leaf.
+struct log_state {
+    std::mutex mutex;
+    log_budget budget { 0, 0 };
+    bounded_writer output { STDOUT_FILENO };
+    bool flushEachLine = true;
+    std::uint64_t leftOut = 0;
+};
+
+log_state& state()
+{
+    static log_state instance;
+    return instance;
+}
+
+class output_backend : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding> {
+public:
+    static void consume(const boost::log::record_view&, const std::string& line)
+    {
+        const std::lock_guard lock(state().mutex);
+        state().budget.record(line.size());
+        state().output.append(line + "\n");
+        if (state().flushEachLine)
+            state().output.flush();
+    }
+};
+
+const event_entry& entryOf(event id)
+{
+    return *std::find_if(catalogue.begin(), catalogue.end(), [&](const event_entry& item) { return item.id == id; });
+}
+
+void write(const event_entry& entry, const std::string& details)
+{
+    BOOST_LOG_STREAM_WITH_PARAMS(::boost::log::trivial::logger::get(), (::boost::log::keywords::severity = severityOf(entry.level)))
+        << "event=" << static_cast<int>(entry.id) << " name=" << entry.name << " " << details;
+}
+
 } // namespace
 
 std::span<const event_entry> eventCatalogue()
@@ -69,25 +123,72 @@
     return catalogue;
 }
 
-void startLog(const std::string& node)
+event_fields& event_fields::add(std::string_view name, std::string_view value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\r\\") == std::string_view::npos)
+        return addPlain(name, std::string(value));
+    std::string quoted = "\"";
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\')
+            quoted.push_back('\\');
+        quoted.push_back(letter == '\n' || letter == '\r' ? ' ' : letter);
+    }
+    return addPlain(name, quoted + "\"");
+}
+
+event_fields& event_fields::addPlain(std::string_view name, const std::string& value)
+{
+    m_text.append(m_text.empty() ? "" : " ").append(name).append("=").append(value);
+    return *this;
+}
+
+void startLog(const std::string& node, const log_limits& limits)
 {
     namespace expr = boost::log::expressions;
-    boost::log::add_common_attributes();
-    boost::log::core::get()->add_global_attribute("Node", boost::log::attributes::constant<std::string>(node));
-    boost::log::add_console_log(std::clog,
-        boost::log::keywords::auto_flush = true,
-        boost::log::keywords::format = expr::stream
-            << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-            << " level=" << boost::log::trivial::severity
-            << " node=" << expr::attr<std::string>("Node")
-            << " " << expr::smessage);
+    state().budget = log_budget(limits.linesPerSecond, limits.bytesPerSecond);
+    state().flushEachLine = limits.flushEachLine;
+    auto core = boost::log::core::get();
+    core->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
+    core->add_global_attribute("Node", boost::log::attributes::constant<std::string>(node));
+    auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<output_backend>>();
+    sink->set_formatter(expr::stream
+        << "time=" << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+        << " level=" << boost::log::trivial::severity
+        << " node=" << expr::attr<std::string>("Node")
+        << " " << expr::smessage);
+    core->add_sink(sink);
+}
+
+void flushLog()
+{
+    std::uint64_t leftOut = 0;
+    {
+        const std::lock_guard lock(state().mutex);
+        leftOut = state().budget.takeLeftOut();
+        state().leftOut += leftOut;
+    }
+    if (leftOut > 0)
+        write(entryOf(event::log_left_out), event_fields().add("lines", leftOut).text());
+    const std::lock_guard lock(state().mutex);
+    state().output.flush();
+}
+
+bool isLogged(event id)
+{
+    const std::lock_guard lock(state().mutex);
+    return state().budget.allows(entryOf(id).importance, monotonic_clock::now());
 }
 
 void logEvent(event id, const std::string& details)
 {
-    const auto entry = std::find_if(catalogue.begin(), catalogue.end(), [&](const event_entry& item) { return item.id == id; });
-    BOOST_LOG_STREAM_WITH_PARAMS(::boost::log::trivial::logger::get(), (::boost::log::keywords::severity = severityOf(entry->level)))
-        << "event=" << static_cast<int>(id) << " name=" << entry->name << " " << details;
+    if (isLogged(id))
+        write(entryOf(id), details);
+}
+
+std::uint64_t logLinesLeftOut()
+{
+    const std::lock_guard lock(state().mutex);
+    return state().leftOut + state().output.dropped();
 }
 
 } // namespace limpetpier
--- a/src/transport/metrics.cc
+++ b/src/transport/metrics.cc
@@ -9,29 +9,40 @@
 
 namespace acc = boost::accumulators;
 
-std::string labelText(const metric_labels& labels, const std::string& more = {})
+std::string labelText(const std::string& labels, const std::string& more = {})
 {
-    std::string text = "{tenant=\"" + labels.tenant + "\",front=\"" + labels.front + "\"";
-    if (!labels.outcome.empty())
-        text += ",outcome=\"" + labels.outcome + "\"";
-    return text + more + "}";
+    const auto both = labels + (labels.empty() || more.empty() ? "" : ",") + more;
+    return both.empty() ? both : "{" + both + "}";
 }
 
 } // namespace
 
-void metrics_registry::observe(const std::string& name, const metric_labels& labels, double seconds)
+metric_series::metric_series(const metric_labels& labels)
+    : m_text("tenant=\"" + labels.tenant + "\",front=\"" + labels.front + "\"")
+{
+    if (!labels.outcome.empty())
+        m_text += ",outcome=\"" + labels.outcome + "\"";
+}
+
+metric_series::metric_series(std::initializer_list<std::pair<std::string_view, std::string_view>> labels)
+{
+    for (const auto& [name, value] : labels)
+        m_text.append(m_text.empty() ? "" : ",").append(name).append("=\"").append(value).append("\"");
+}
+
+void metrics_registry::observe(const std::string& name, const metric_series& series, double seconds)
 {
     const auto bucket = static_cast<std::size_t>(std::lower_bound(latencyBuckets.begin(), latencyBuckets.end(), seconds) - latencyBuckets.begin());
     const std::lock_guard lock(m_mutex);
-    auto& target = m_histograms[name][labels];
+    auto& target = m_histograms[name][series.text()];
     target.totals(seconds);
     ++target.buckets[bucket];
 }
 
-void metrics_registry::add(const std::string& name, const metric_labels& labels, double amount)
+void metrics_registry::add(const std::string& name, const metric_series& series, double amount)
 {
     const std::lock_guard lock(m_mutex);
-    m_counters[name][labels] += amount;
+    m_counters[name][series.text()] += amount;
 }
 
 void metrics_registry::set(const std::string& name, double value)
@@ -59,10 +70,10 @@
             for (std::size_t bucket = 0; bucket < latencyBuckets.size(); ++bucket) {
                 cumulative += values.buckets[bucket];
                 std::ostringstream bound;
-                bound << ",le=\"" << latencyBuckets[bucket] << "\"";
+                bound << "le=\"" << latencyBuckets[bucket] << "\"";
                 out << name << "_bucket" << labelText(labels, bound.str()) << " " << cumulative << "\n";
             }
-            out << name << "_bucket" << labelText(labels, ",le=\"+Inf\"") << " " << acc::count(values.totals) << "\n"
+            out << name << "_bucket" << labelText(labels, "le=\"+Inf\"") << " " << acc::count(values.totals) << "\n"
                 << name << "_sum" << labelText(labels) << " " << acc::sum(values.totals) << "\n"
                 << name << "_count" << labelText(labels) << " " << acc::count(values.totals) << "\n"
                 << name << "_max" << labelText(labels) << " " << acc::max(values.totals) << "\n";
