--- a/include/limpetpier/protocol/gateway_protocol.h
+++ b/include/limpetpier/protocol/gateway_protocol.h
@@ -17,6 +17,7 @@
     std::optional<milliseconds> timeLeft; // how long the client waits
     std::string host;
     http_request message; // as received
+    std::string forwardHead; // request line and fields that every call of it carries
 };
 
 enum class reply_kind : std::uint8_t {
--- a/programs/ctl/log_story.cc
+++ b/programs/ctl/log_story.cc
@@ -63,7 +63,7 @@
     std::string text = entry.name;
     for (const auto& [name, value] : entry.fields) {
         if (name != "request")
-            text += " " + name + "=" + value;
+            text.append(" ").append(name).append("=").append(value);
     }
     return text;
 }
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -15,7 +15,7 @@
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusUnavailable = 503;
 
-constexpr milliseconds maintenanceInterval { 50 };
+constexpr milliseconds maintenanceInterval { 100 };
 
 // All keys are followed by one watch, as each call is priced. Its connection is probed, so a long wait hides no silence;
 // changes of the pause come in one call, well within the bounds for configurations and draining.
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -357,18 +357,24 @@
     m_slownessAt = now;
 }
 
+bool searcher_pool::isDue(const slot& slot, monotonic_time now) const
+{
+    if (slot.closeAt)
+        return now >= *slot.closeAt;
+    if (!slot.channel->isIdle())
+        return false;
+    const bool spare = m_slots.size() > m_connectionLimit || (m_slots.size() > 1 && now - slot.idleSince > spareLife);
+    return spare || slot.channel->usableUntil() <= now;
+}
+
 void searcher_pool::maintain(monotonic_time now)
 {
-    const auto slots = m_slots;
-    for (const auto& slot : slots) {
-        const bool overdue = slot->closeAt && now >= *slot->closeAt;
-        const bool spare = slot->channel->isIdle() && m_slots.size() > 1 && now - slot->idleSince > spareLife;
-        const bool stale = slot->channel->isIdle() && slot->channel->usableUntil() <= now;
-        if (!overdue && !spare && !stale)
-            continue;
-        slot->channel->close();
-        std::erase(m_slots, slot);
-        if (overdue && slot->verifying)
+    for (auto due = std::find_if(m_slots.begin(), m_slots.end(), [&](const slot_handle& slot) { return isDue(*slot, now); }); due != m_slots.end();
+         due = std::find_if(m_slots.begin(), m_slots.end(), [&](const slot_handle& slot) { return isDue(*slot, now); })) {
+        const auto gone = *due;
+        gone->channel->close();
+        m_slots.erase(due);
+        if (gone->verifying)
             handleBreak();
     }
     if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt)
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -60,6 +60,7 @@
     };
     using slot_handle = std::shared_ptr<slot>;
 
+    [[nodiscard]] bool isDue(const slot& slot, monotonic_time now) const; // to be closed
     void openSlot();
     void handleOpened(const slot_handle& opened, bool success);
     void verify(const slot_handle& opened);
--- a/src/transport/client_listener.cc
+++ b/src/transport/client_listener.cc
@@ -121,9 +121,8 @@
     void sweep(monotonic_time now)
     {
         m_idleLimit = std::max(m_idleLimit, m_listener->limits.idleTimeout);
-        if (m_state == state::writing && now - m_since > writeTimeout)
-            end();
-        else if (isIdle() && now - m_since > m_idleLimit)
+        const bool stuck = m_state == state::writing && now - m_since > writeTimeout;
+        if (stuck || (isIdle() && now - m_since > m_idleLimit))
             end();
         else if (m_state == state::reading && m_begun && now - m_since > m_listener->limits.headerTimeout)
             refuse(errorReply(408, "request incomplete in time; send it whole"));
--- a/src/transport/http_format.cc
+++ b/src/transport/http_format.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <ostream>
 
 namespace limpetpier {
 
@@ -36,19 +37,31 @@
     return std::any_of(listed.begin(), listed.end(), [&](const auto& token) { return same({ token.data(), token.size() }); });
 }
 
-std::string formatRequest(const http_request& request)
+std::string formatRequestHead(const http_request& request)
 {
     std::string out;
-    out.reserve(typicalHeadBytes + request.body.size());
+    out.reserve(typicalHeadBytes);
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     for (const auto& field : request.fields)
         append(out, field.name, field.value);
+    return out;
+}
+
+std::string formatCall(const std::string& head, std::initializer_list<std::pair<std::string_view, std::string_view>> fields, const http_request& request)
+{
+    std::string out;
+    out.reserve(head.size() + typicalHeadBytes + request.body.size());
+    out.append(head);
+    for (const auto& [name, value] : fields)
+        append(out, name, value);
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         append(out, "Content-Length", std::to_string(request.body.size()));
     out.append("\r\n").append(request.body);
     return out;
 }
 
+std::string formatRequest(const http_request& request) { return formatCall(formatRequestHead(request), {}, request); }
+
 std::string formatReply(const http_reply& reply, bool withoutBody)
 {
     std::string out;
