Idle connections end in order; connections wait until the member list is whole

At the start shares were taken from a short member list, so 6,806 connections went over the cap within 0.7 s. Change: an end at the stated idle limit is in order; connections are kept ready only where requests came in the last 20 s; an unused connection that is closed at once counts as one too many; at the start the member list settles first.

--- a/include/limpetpier/transport/http_channel.h
+++ b/include/limpetpier/transport/http_channel.h
@@ -57,6 +57,7 @@
 
     // Until when an idle connection may be used, by the peer's own word.
     [[nodiscard]] monotonic_time usableUntil() const { return m_usableUntil; }
+    [[nodiscard]] std::optional<milliseconds> idleLimit() const { return m_idleLimit; }
 
     // A reply larger than this is not read.
     static constexpr std::uint64_t largestReplyBytes = 8U << 20;
@@ -97,6 +98,7 @@
     ownership_check m_owns;
     reply_handler m_onReply;
     closed_handler m_onClosed;
+    std::optional<milliseconds> m_idleLimit;
     monotonic_time m_usableUntil = monotonic_time::max();
     std::array<char, 2048> m_buffer {};
 };
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -21,6 +21,10 @@
 // changes of the pause come in one call, well within the bounds for configurations and draining.
 constexpr follow_policy storePolicy { milliseconds(25'000), milliseconds(700) };
 
+// At the start the member list is taken as whole after this time without a change, or in any case after the longest.
+constexpr milliseconds settleQuiet { 800 };
+constexpr milliseconds settleAtMost { 2500 };
+
 // A client that came before there is a configuration should come back after this.
 constexpr milliseconds retryWhileStarting { 300 };
 
@@ -122,7 +126,7 @@
 
 bool gateway::isReady() const
 {
-    return !m_stopping && m_table && m_store.hasRead() && !isLost();
+    return !m_stopping && m_table && m_settled && !isLost();
 }
 
 void gateway::handleReady(client_call call)
@@ -205,7 +209,9 @@
     }
     m_directory.replaceAll(entries, monotonic_clock::now(), afterOutage);
     m_fleetChanged = true;
+    const bool restarted = !m_settled && m_membership.members().contains(m_settings.node);
     changeMembers();
+    m_settled = m_settled || restarted; // the list of before this process's start is still there
     refreshFleet();
 }
 
@@ -281,15 +287,27 @@
 {
     member_share share(m_settings.node, m_membership.names());
     m_membersChanged = false;
-    if (share.members() != m_share.members())
+    if (share.members() != m_share.members()) {
+        m_membersChangedAt = monotonic_clock::now();
         logEvent(event::members_changed, event_fields().add("members", share.members()));
+    }
     m_share = std::move(share);
     m_fleetChanged = true;
 }
 
+// Processes that start together see each other come; shares taken from a short list would add up to too much.
+void gateway::settle(monotonic_time now)
+{
+    if (m_settled || !m_store.hasRead())
+        return;
+    const bool listed = m_membership.members().contains(m_settings.node);
+    m_settled = (listed && now - m_membersChangedAt >= settleQuiet) || now - m_begun >= settleAtMost;
+    m_fleetChanged = true;
+}
+
 void gateway::refreshFleet()
 {
-    if (!m_fleetChanged || !m_table)
+    if (!m_fleetChanged || !m_table || !m_settled)
         return;
     m_fleetChanged = false;
     m_fleet.update(m_directory, *m_table, m_share, m_evacuated);
@@ -301,6 +319,7 @@
     m_fleetChanged = m_directory.expire(now) || m_fleetChanged;
     if (m_membersChanged)
         changeMembers();
+    settle(now);
     refreshFleet();
     m_fleet.maintain(now);
     flushLog();
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -53,6 +53,7 @@
     void applySearcher(const store_item& item, bool afterOutage);
     std::optional<searcher_entry> readSearcher(const store_item& item) const;
     void changeMembers();
+    void settle(monotonic_time now);
     void refreshFleet();
 
     void maintain();
@@ -81,6 +82,9 @@
     asio::steady_timer m_stopTimer;
     asio::signal_set m_signals;
     bool m_fleetChanged = false;
+    bool m_settled = false; // the number of members is known well enough to share what is common
+    monotonic_time m_begun = monotonic_clock::now();
+    monotonic_time m_membersChangedAt {};
     bool m_membersChanged = false;
     bool m_stopping = false;
     bool m_draining = false; // the balancer has taken this process out
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -21,6 +21,15 @@
 // Health checks in a row that may say a listed searcher is ill before it is tried nevertheless.
 constexpr std::uint32_t mostIllAnswers = 4;
 
+// A connection is kept ready while requests were sent within this time.
+constexpr milliseconds readyFor { 20'000 };
+
+// A connection closed this soon after it was opened, unused, was one too many.
+constexpr milliseconds crowdedWithin { 1000 };
+
+// Searchers close idle connections about at the limit they state.
+constexpr milliseconds idleTolerance { 700 };
+
 // Connections beyond the first are closed after this time without use: a searcher must have room for those of processes
 // that restart before it notices that the old ones are gone.
 constexpr milliseconds spareLife { 1000 };
@@ -42,6 +51,7 @@
     , m_protocol(protocol)
     , m_entry(std::move(entry))
     , m_retryDelay(firstRetryDelay)
+    , m_lastUse(monotonic_clock::now())
 {
 }
 
@@ -169,6 +179,8 @@
     }
     call->written = true;
     call->writtenAt = now;
+    idle->used = true;
+    m_lastUse = now;
     idle->call = call;
     const auto left = std::chrono::duration_cast<milliseconds>(call->answerBy - now);
     const auto request = call->request;
@@ -186,6 +198,8 @@
     used->call.reset();
     used->closeAt.reset();
     used->idleSince = monotonic_clock::now();
+    if (const auto limit = used->channel->idleLimit())
+        m_idleLimit = limit;
     if (!used->channel->isOpen() && result.stage == exchange_stage::replied)
         std::erase(m_slots, used); // closed in order, after a whole reply
     else if (!used->channel->isOpen())
@@ -296,9 +310,7 @@
 // been restarted, and is asked before it is used again.
 void searcher_pool::handleBreak()
 {
-    const auto now = monotonic_clock::now();
-    m_retryAt = now + m_retryDelay;
-    m_retryDelay = std::min(longestRetryDelay, m_retryDelay * 2);
+    backOff(monotonic_clock::now());
     if (std::any_of(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isOpen(); }))
         return;
     doubt("connection_failed");
@@ -337,18 +349,31 @@
         slot->channel->close();
 }
 
+// Ends a connection that the searcher or the network closed, and judges what that says about the searcher.
 void searcher_pool::drop(const slot_handle& gone)
 {
     gone->channel->close();
     std::erase(m_slots, gone);
-    // With no connection left it may have been restarted: asked before it is used again.
+    const auto now = monotonic_clock::now();
+    if (!gone->used && now - gone->idleSince < crowdedWithin) {
+        backOff(now); // closed as soon as it was open: the searcher has no room for another
+        return;
+    }
+    const bool isIdleLimit = m_idleLimit && now - gone->idleSince >= *m_idleLimit - idleTolerance;
     const bool noneOpen = std::none_of(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isOpen(); });
-    if (noneOpen && m_verified && !m_entry.draining) {
+    // With no connection left it may have been restarted: asked before it is used again.
+    if (noneOpen && m_verified && !m_entry.draining && !isIdleLimit) {
         doubt("connection_closed");
-        m_retryAt = std::max(m_retryAt, monotonic_clock::now() + firstRetryDelay);
+        m_retryAt = std::max(m_retryAt, now + firstRetryDelay);
     }
 }
 
+void searcher_pool::backOff(monotonic_time now)
+{
+    m_retryAt = now + m_retryDelay;
+    m_retryDelay = std::min(longestRetryDelay, m_retryDelay * 2);
+}
+
 void searcher_pool::recordSlowness(double multiple, monotonic_time now)
 {
     const double age = std::chrono::duration<double>(now - m_slownessAt) / std::chrono::duration<double>(slownessMemory);
@@ -377,7 +402,7 @@
         if (gone->verifying)
             handleBreak();
     }
-    if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt)
+    if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt && now - m_lastUse < readyFor)
         openSlot();
 }
 
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -55,6 +55,7 @@
         std::shared_ptr<http_channel> channel;
         call_handle call;
         bool verifying = false;
+        bool used = false; // has carried a request
         monotonic_time idleSince {};
         std::optional<monotonic_time> closeAt; // the call was cancelled
     };
@@ -70,6 +71,7 @@
     void handleReply(const slot_handle& used, const call_handle& call, exchange_result result);
     void drop(const slot_handle& gone);
     void handleBreak();
+    void backOff(monotonic_time now);
     void doubt(const char* why);
     void failQueue();
     void closeIdle();
@@ -89,6 +91,8 @@
     std::uint32_t m_illAnswers = 0;
     monotonic_time m_retryAt {};
     milliseconds m_retryDelay;
+    monotonic_time m_lastUse;
+    std::optional<milliseconds> m_idleLimit; // after which the searcher closes an idle connection, by its own word
     double m_slowness = 1;
     monotonic_time m_slownessAt {};
     std::vector<slot_handle> m_slots;
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -193,7 +193,9 @@
         return;
     }
     if (const auto seconds = statedIdleSeconds(result.reply.field("Keep-Alive")))
-        m_usableUntil = monotonic_clock::now() + std::chrono::seconds(*seconds) - idleMargin;
+        m_idleLimit = std::chrono::seconds(*seconds);
+    if (m_idleLimit)
+        m_usableUntil = monotonic_clock::now() + *m_idleLimit - idleMargin;
     if (!keepAlive || m_tainted || !m_pending.empty()) {
         m_state = state::closed;
         beast::error_code ignored;
