--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -21,12 +21,16 @@
 // Health checks in a row that may say a listed searcher is ill before it is tried nevertheless.
 constexpr std::uint32_t mostIllAnswers = 4;
 
-// A connection is kept ready while requests were sent within this time.
-constexpr milliseconds readyFor { 20'000 };
+// A connection is kept ready while requests were sent within this time: less than searchers' idle limits, so that one
+// they closed for lack of use is not opened again for nothing.
+constexpr milliseconds readyFor { 6000 };
 
 // A connection closed this soon after it was opened, unused, was one too many.
 constexpr milliseconds crowdedWithin { 1000 };
 
+// Idle limit of a searcher that has not stated one yet.
+constexpr milliseconds assumedIdleLimit { 5000 };
+
 // Searchers close idle connections about at the limit they state.
 constexpr milliseconds idleTolerance { 700 };
 
@@ -359,7 +363,7 @@
         backOff(now); // closed as soon as it was open: the searcher has no room for another
         return;
     }
-    const bool isIdleLimit = m_idleLimit && now - gone->idleSince >= *m_idleLimit - idleTolerance;
+    const bool isIdleLimit = now - gone->idleSince >= m_idleLimit.value_or(assumedIdleLimit) - idleTolerance;
     const bool noneOpen = std::none_of(m_slots.begin(), m_slots.end(), [](const slot_handle& slot) { return slot->channel->isOpen(); });
     // With no connection left it may have been restarted: asked before it is used again.
     if (noneOpen && m_verified && !m_entry.draining && !isIdleLimit) {
@@ -402,7 +406,7 @@
         if (gone->verifying)
             handleBreak();
     }
-    if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt && now - m_lastUse < readyFor)
+    if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt && (now - m_lastUse < readyFor || !m_verified))
         openSlot();
 }
 
