--- a/include/limpetpier/state/searcher_directory.h
+++ b/include/limpetpier/state/searcher_directory.h
@@ -53,6 +53,9 @@
     // The platform restores lapsed entries within about two seconds of the store's return.
     static constexpr milliseconds lapseGrace { 2200 };
 
+    // From the writing of an entry to its reading here, with the store well.
+    static constexpr milliseconds longestReportDelay { 1500 };
+
 private:
     std::map<searcher_id, record> m_records;
 };
--- a/src/state/searcher_directory.cc
+++ b/src/state/searcher_directory.cc
@@ -1,16 +1,30 @@
 #include "limpetpier/state/searcher_directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace limpetpier {
 
+namespace {
+
+// Entries reach us late, so each one puts the end of a cold start too late by its delay: the earliest end is the nearest
+// to the truth. Only a report that is off by more than any delay means that the searcher turned cold anew.
+monotonic_time laterReport(monotonic_time known, monotonic_time reported)
+{
+    return reported > known + searcher_directory::longestReportDelay ? reported : std::min(known, reported);
+}
+
+} // namespace
+
 bool searcher_directory::put(const searcher_entry& entry, monotonic_time now)
 {
     auto [position, added] = m_records.try_emplace(entry.id);
     auto& record = position->second;
     const bool changed = added || record.dropAt || !(record.entry == entry);
-    if (added || record.entry.born != entry.born || record.entry.coldLeft != entry.coldLeft)
+    if (added || record.entry.born != entry.born)
         record.coldUntil = now + entry.coldLeft;
+    else if (record.entry.coldLeft != entry.coldLeft)
+        record.coldUntil = laterReport(record.coldUntil, now + entry.coldLeft);
     record.entry = entry;
     record.dropAt.reset();
     return changed;
--- a/test/searcher_directory_test.cc
+++ b/test/searcher_directory_test.cc
@@ -67,3 +67,21 @@
     CHECK(directory.put(makeEntry("a"), start));
     CHECK_FALSE(directory.put(makeEntry("a"), start));
 }
+
+TEST_CASE("Reports of the same cold start that arrive late do not prolong it")
+{
+    searcher_directory directory;
+    auto entry = makeEntry("a");
+    entry.coldLeft = milliseconds(3000);
+    directory.put(entry, start);
+    entry.coldLeft = milliseconds(1800);
+    directory.put(entry, start + milliseconds(1900)); // written 700 ms before
+    CHECK(directory.records().begin()->second.coldUntil == start + milliseconds(3000));
+
+    SECTION("one that is far off means a new cold start")
+    {
+        entry.coldLeft = milliseconds(3000);
+        directory.put(entry, start + milliseconds(4000));
+        CHECK(directory.records().begin()->second.coldUntil == start + milliseconds(7000));
+    }
+}
