--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -21,8 +21,7 @@
 // changes of the pause come in one call, well within the bounds for configurations and draining.
 constexpr follow_policy storePolicy { milliseconds(25'000), milliseconds(700) };
 
-// At the start the member list is taken as whole after this time without a change, or in any case after the longest.
-constexpr milliseconds settleQuiet { 800 };
+// At the start the member list is taken as whole after this time in any case.
 constexpr milliseconds settleAtMost { 2500 };
 
 // A client that came before there is a configuration should come back after this.
@@ -301,7 +300,7 @@
     if (m_settled || !m_store.hasRead())
         return;
     const bool listed = m_membership.members().contains(m_settings.node);
-    m_settled = (listed && now - m_membersChangedAt >= settleQuiet) || now - m_begun >= settleAtMost;
+    m_settled = (listed && now - m_membersChangedAt >= m_settings.memberSettle) || now - m_begun >= settleAtMost;
     m_fleetChanged = true;
 }
 
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -23,6 +23,7 @@
     shared_bounds bounds;
     milliseconds stopGrace { 6000 }; // from the signal to the forced end
     milliseconds memberLife { 6000 }; // time to live of the entry in the member list
+    milliseconds memberSettle { 800 }; // at the start, time without a change after which the member list is whole
 };
 
 // Answers clients by asking the searchers of the deployment. One thread.
@@ -84,7 +85,7 @@
     bool m_fleetChanged = false;
     bool m_settled = false; // the number of members is known well enough to share what is common
     monotonic_time m_begun = monotonic_clock::now();
-    monotonic_time m_membersChangedAt {};
+    monotonic_time m_membersChangedAt = monotonic_clock::now();
     bool m_membersChanged = false;
     bool m_stopping = false;
     bool m_draining = false; // the balancer has taken this process out
--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -219,7 +219,7 @@
         }
         merged.records = mergeParts(bodies, m_request.rule->topRecords);
         m_report.missingParts = merged.missingParts;
-        logMissing();
+        logMissing(event::part_missing);
         finish(m_context.protocol.encodeMerged(merged), merged.missingParts == 0 ? "answered" : "answered_incomplete");
         releaseAll(loserLinger);
     }
@@ -227,7 +227,7 @@
     void fail(monotonic_time now)
     {
         m_report.missingParts = m_parts.size() - progress().done;
-        logMissing();
+        logMissing(event::part_failed);
         const bool ran = std::any_of(m_parts.begin(), m_parts.end(), [](const auto& part) { return part.possibleRuns > 0; });
         if (!ran)
             finishNotRun("no_searcher", "no searcher took the query; it has not run");
@@ -238,16 +238,16 @@
         releaseAll(loserLinger);
     }
 
-    // One line for each part that the answer lacks: who was asked, and what became of it.
-    void logMissing() const
+    // One line for each part that is not in: who was asked, and what became of it.
+    void logMissing(event id) const
     {
         for (const auto& part : m_parts) {
-            if (part.state == part_state::done || !isLogged(event::part_missing))
+            if (part.state == part_state::done || !isLogged(id))
                 continue;
             std::string asked;
             for (const auto& searcher : part.tried)
                 asked.append(asked.empty() ? "" : ",").append(searcher.value());
-            logEvent(event::part_missing, event_fields().add("request", m_report.requestId).add("service", part.service.value()).add("state", describe(part.state)).add("asked", asked).add("listed", m_context.fleet.count(part.service)));
+            logEvent(id, event_fields().add("request", m_report.requestId).add("service", part.service.value()).add("state", describe(part.state)).add("asked", asked).add("listed", m_context.fleet.count(part.service)));
         }
     }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,7 +5,23 @@
 export LIMPET_NODE_SECRET=${LIMPET_NODE_SECRET:-local-trial-secret}
 export LIMPET_CREDENTIAL=${LIMPET_CREDENTIAL:-local-trial-credential}
 run_dir=$(mktemp -d)
-base_port=${LIMPET_BASE_PORT:-21000}
+
+# Each run takes a range of ports of its own, so that several may go on at once. The lock is held as long as this shell.
+# The ranges lie below the ephemeral ports.
+take_ports() {
+  local base
+  for base in ${LIMPET_BASE_PORT:-10000 16000 22000 27000}; do
+    exec 9>"${TMPDIR:-/tmp}/limpet-ports-$base.lock"
+    if flock -n 9; then
+      base_port=$base
+      return
+    fi
+  done
+  echo "all port ranges are in use by other runs; wait for one to end, or set LIMPET_BASE_PORT to a free range of 5,500 ports" >&2
+  exit 2
+}
+base_port=
+take_ports
 store=127.0.0.1:$base_port
 declare -A pids=()
 
@@ -13,7 +29,7 @@
 start() {
   local name=$1
   shift
-  "$@" >"$run_dir/$name.log" 2>&1 &
+  "$@" >"$run_dir/$name.log" 2>&1 9>&- &
   pids[$name]=$!
 }
 
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -148,3 +148,15 @@
     fixture.run(viewDelay);
     CHECK(fixture.ask("/safe/x", "id1").reply.status == 200);
 }
+
+TEST_CASE("A process that starts alone opens no connection before the member list has had time to fill")
+{
+    standins::gateway_fixture fixture;
+    auto& searcher = fixture.addSearcher("a", "a1", "z");
+    fixture.configure(1);
+    fixture.startGateway(milliseconds(400));
+    fixture.run(milliseconds(250));
+    CHECK(searcher.server().accepted() == 0);
+    CHECK_FALSE(fixture.isReady());
+    CHECK(fixture.runUntil([&] { return searcher.server().accepted() > 0; }));
+}
--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -50,7 +50,7 @@
                 + extraRoutes + R"(],"services":[)" + services + R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":500,"idleTimeoutMs":5000}})");
     }
 
-    void startGateway()
+    void startGateway(milliseconds memberSettle = milliseconds(20))
     {
         settings.node = node_id("node-1");
         settings.zone = data_centre_id("z1");
@@ -58,6 +58,7 @@
         settings.readyAddress = freeAddress();
         settings.peerAddress = freeAddress();
         settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, 5 };
+        settings.memberSettle = memberSettle;
         settings.stopGrace = milliseconds(1500);
         process = std::make_unique<gateway>(io, protocol, client, settings);
         process->start();
--- /dev/null
+++ b/test/standins/platform_standin.cc
@@ -0,0 +1,85 @@
+#include <boost/asio.hpp>
+#include <fstream>
+#include <iostream>
+
+#include "limpetpier/transport/program.h"
+#include "limpetpier/transport/settings.h"
+#include "platform_searcher.h"
+#include "platform_store.h"
+
+// A small platform on loopback for trying the gateway by hand: a store with a configuration of one query over all shards
+// and one lookup, its searchers, and a settings file for a gateway.
+
+namespace limpetpier::standins {
+
+namespace {
+
+constexpr int replicas = 2;
+
+const std::vector<setting>& settingsTable()
+{
+    static const std::vector<setting> table {
+        { "base-port", "", "First of the ports: store, clients, readiness, peers, then searchers", setting_kind::number, true, 1024, 60'000, false },
+        { "shards", "5", "Shards of the query", setting_kind::number, true, 1, 26, false },
+        { "settings-file", "", "Settings file to write for the gateway", setting_kind::text, true, 0, 0, false },
+    };
+    return table;
+}
+
+std::string configuration(int shards)
+{
+    std::string names;
+    std::string services;
+    for (int shard = 0; shard < shards; ++shard) {
+        const auto name = "\"shard-" + std::to_string(shard) + "\"";
+        names.append(names.empty() ? "" : ",").append(name);
+        services.append(services.empty() ? "" : ",").append(R"({"name":)").append(name).append(R"(,"healthPath":"/healthz","maxConns":20,"warmupS":3.0,"coldPerS":0.0})");
+    }
+    return R"({"version":1,"routes":[
+        {"name":"query","host":"search.example","prefix":"/query/","type":"safe","timeoutMs":400,"targetLatencyMs":80,"priority":1,"gather":[)"
+        + names + R"(],"maxAttempts":2,"topK":5,"minCoverage":0.75},
+        {"name":"lookup","host":"search.example","prefix":"/lookup/","type":"safe","timeoutMs":1000,"targetLatencyMs":250,"priority":2,"service":"shard-0","maxAttempts":2}],
+        "services":[)"
+        + services + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":5000,"idleTimeoutMs":20000}})";
+}
+
+std::string gatewaySettings(int basePort)
+{
+    const auto address = [&](int offset) { return "\"127.0.0.1:" + std::to_string(basePort + offset) + "\"\n"; };
+    return "nodeName = \"front-1\"\nip = \"127.0.0.1\"\nzone = \"zone-1\"\ninternalPorts = [" + std::to_string(basePort + 3) + "," + std::to_string(basePort + 3)
+        + "]\nheartbeatMs = 1200\n[listenAddrs]\nfront = " + address(1) + "readyAddr = " + address(2)
+        + "[bounds]\ngraceS = 6\nretryBudget = 0.2\nbudgetWindowS = 10\nbudgetSlack = 58\ncoldOvershoot = 1.5\ncoldSlack = 5\n[platform]\naddress = " + address(0) + "ttlMinMs = 1000\n";
+}
+
+int run(int argc, char** argv)
+{
+    const auto settings = program_settings::read("platform-standin", "Stands in for the platform, for trials by hand.", settingsTable(), argc, argv);
+    const auto basePort = static_cast<int>(settings.number("base-port"));
+    const auto shards = static_cast<int>(settings.number("shards"));
+    boost::asio::io_context io { 1 };
+    platform_store store(io, static_cast<unsigned short>(basePort));
+    std::vector<std::unique_ptr<platform_searcher>> searchers;
+    int port = basePort + 4;
+    for (int shard = 0; shard < shards; ++shard) {
+        for (int replica = 0; replica < replicas; ++replica, ++port) {
+            const auto id = "i-" + std::to_string(shard) + "-" + std::to_string(replica);
+            const std::string records { static_cast<char>('a' + shard), static_cast<char>('A' + shard) };
+            searchers.push_back(std::make_unique<platform_searcher>(io, id, records, static_cast<unsigned short>(port)));
+            store.put("servers/" + id, searchers.back()->entry("shard-" + std::to_string(shard), "zone-1"));
+        }
+    }
+    store.put("op/config", configuration(shards));
+    std::ofstream(settings.text("settings-file")) << gatewaySettings(basePort);
+    std::cout << "store " << store.address() << ", " << searchers.size() << " searchers" << std::endl;
+    io.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+} // namespace limpetpier::standins
+
+int main(int argc, char** argv)
+{
+    return limpetpier::runProgram("platform-standin", limpetpier::standins::run, argc, argv);
+}
