--- a/test/wire_protocol_test.cc
+++ b/test/wire_protocol_test.cc
@@ -122,3 +122,8 @@
     CHECK_THROWS_AS(protocol.decodeSearcher("servers/i-1", R"({"service":"a","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":2,"state":"resting","coldLeftMs":0,"seq":4})"), document_error);
     CHECK_THROWS_AS(protocol.decodeSearcher("servers/i-1", R"({"service":"a","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":"2","state":"ready","coldLeftMs":0,"seq":4})"), document_error);
 }
+
+TEST_CASE("A shard that is no name is named wrong")
+{
+    CHECK_THROWS_AS(protocol.decodeTable(R"({"version":7,"routes":[{"name":"q","host":"h","prefix":"/q/","type":"safe","timeoutMs":400,"gather":["a",7],"topK":5,"minCoverage":0.5}],"services":[]})"), document_error);
+}
