--- a/include/limpetpier/state/searcher_directory.h
+++ b/include/limpetpier/state/searcher_directory.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,11 +43,11 @@
     // Removes an entry, at once or after the grace.
     void remove(const searcher_id& searcher, monotonic_time now, bool afterOutage);
 
-    // Makes the directory hold these entries and no others.
-    void replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage);
+    // Makes the directory hold these entries and no others; returns those that changed.
+    std::set<searcher_id> replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage);
 
-    // Drops entries whose grace has ended; true if there were any.
-    bool expire(monotonic_time now);
+    // Drops entries whose grace has ended and returns them.
+    std::set<searcher_id> expire(monotonic_time now);
 
     [[nodiscard]] const std::map<searcher_id, record>& records() const { return m_records; }
 
--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -47,6 +47,7 @@
     searcher_listed = 506,
     searcher_gone = 507,
     searcher_ill = 508,
+    searcher_crowded = 509,
     members_changed = 208,
     table_adopted = 310,
     table_unreadable = 311,
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -88,7 +88,7 @@
     m_settings.bounds = settings.bounds;
     m_settings.stopGrace = settings.stopGrace;
     m_fleet.changeBounds(settings.bounds);
-    m_fleetChanged = true;
+    m_rulesChanged = true;
 }
 
 void gateway::handleRequest(http_request message, client_call call)
@@ -206,8 +206,8 @@
         else if (auto entry = readSearcher(item))
             entries.push_back(std::move(*entry));
     }
-    m_directory.replaceAll(entries, monotonic_clock::now(), afterOutage);
-    m_fleetChanged = true;
+    m_changedSearchers.merge(m_directory.replaceAll(entries, monotonic_clock::now(), afterOutage));
+    m_rulesChanged = true;
     const bool restarted = !m_settled && m_membership.members().contains(m_settings.node);
     changeMembers();
     m_settled = m_settled || restarted; // the list of before this process's start is still there
@@ -239,7 +239,7 @@
             m_evacuated.insert(zone);
         logEvent(event::evacuation_changed, event_fields().add("zone", zone.value()).add("empty", item.removed ? "no" : "yes"));
     }
-    m_fleetChanged = true;
+    m_rulesChanged = true;
 }
 
 void gateway::adoptTable(const std::string& text)
@@ -274,12 +274,14 @@
     std::optional<searcher_entry> entry;
     if (!item.removed)
         entry = readSearcher(item);
-    if (entry)
-        m_fleetChanged = m_directory.put(*entry, now) || m_fleetChanged;
-    else {
-        m_directory.remove(searcher_id(item.key.substr(m_protocol.searcherPrefix().size())), now, afterOutage);
-        m_fleetChanged = true;
+    if (entry) {
+        if (m_directory.put(*entry, now))
+            m_changedSearchers.insert(entry->id);
+        return;
     }
+    const searcher_id gone(item.key.substr(m_protocol.searcherPrefix().size()));
+    m_directory.remove(gone, now, afterOutage);
+    m_changedSearchers.insert(gone);
 }
 
 void gateway::changeMembers()
@@ -291,7 +293,7 @@
         logEvent(event::members_changed, event_fields().add("members", share.members()));
     }
     m_share = std::move(share);
-    m_fleetChanged = true;
+    m_rulesChanged = true;
 }
 
 // Processes that start together see each other come; shares taken from a short list would add up to too much.
@@ -301,21 +303,23 @@
         return;
     const bool listed = m_membership.members().contains(m_settings.node);
     m_settled = (listed && now - m_membersChangedAt >= m_settings.memberSettle) || now - m_begun >= settleAtMost;
-    m_fleetChanged = true;
+    m_rulesChanged = true;
 }
 
 void gateway::refreshFleet()
 {
-    if (!m_fleetChanged || !m_table || !m_settled)
+    if (!m_table || !m_settled || (!m_rulesChanged && m_changedSearchers.empty()))
         return;
-    m_fleetChanged = false;
-    m_fleet.update(m_directory, *m_table, m_share, m_evacuated);
+    if (const auto changed = std::exchange(m_changedSearchers, {}); !changed.empty())
+        m_fleet.updateEntries(m_directory, changed, *m_table, m_share);
+    if (std::exchange(m_rulesChanged, false))
+        m_fleet.updateRules(*m_table, m_share, m_evacuated);
 }
 
 void gateway::maintain()
 {
     const auto now = monotonic_clock::now();
-    m_fleetChanged = m_directory.expire(now) || m_fleetChanged;
+    m_changedSearchers.merge(m_directory.expire(now));
     if (m_membersChanged)
         changeMembers();
     settle(now);
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -82,7 +82,8 @@
     asio::steady_timer m_maintenance;
     asio::steady_timer m_stopTimer;
     asio::signal_set m_signals;
-    bool m_fleetChanged = false;
+    std::set<searcher_id> m_changedSearchers; // since the fleet was updated
+    bool m_rulesChanged = false; // table, members or evacuations, since the fleet was updated
     bool m_settled = false; // the number of members is known well enough to share what is common
     monotonic_time m_begun = monotonic_clock::now();
     monotonic_time m_membersChangedAt = monotonic_clock::now();
--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "limpetpier/coordination/gather_policy.h"
 #include "limpetpier/coordination/part_merge.h"
@@ -117,8 +118,7 @@
 
     void take(part& part, searcher_reply reply)
     {
-        const bool known = std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& other) { return other.state == part_state::done && other.reply.signature == reply.signature; });
-        part.state = known ? part_state::failed : part_state::done;
+        part.state = m_signatures.insert(reply.signature).second ? part_state::done : part_state::failed;
         part.reply = std::move(reply);
         release(part, loserLinger);
     }
@@ -290,6 +290,7 @@
 
     gather_policy m_policy;
     std::vector<part> m_parts;
+    std::set<std::string> m_signatures; // of the parts that are in: each counts once
     bool m_armed = false;
     monotonic_time m_armedFor {};
     std::shared_ptr<gather_run> m_self; // until the run is over
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -21,58 +21,88 @@
 {
 }
 
-void searcher_fleet::update(const searcher_directory& directory, const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated)
-{
-    drop(directory);
-    m_services.clear();
-    for (const auto& [id, record] : directory.records()) {
-        auto& pool = m_pools[id];
-        if (!pool || !(pool->entry() == record.entry))
-            logEvent(event::searcher_listed, event_fields().add("searcher", id.value()).add("service", record.entry.service.value()).add("address", record.entry.address).add("zone", record.entry.zone.value()).add("state", record.entry.draining ? "draining" : "ready").add("cold_ms", record.entry.coldLeft).add("born", record.entry.born));
-        if (!pool)
-            pool = std::make_unique<searcher_pool>(m_executor, m_protocol, record.entry);
-        pool->update(record.entry, record.coldUntil);
-        pool->setEvacuated(evacuated.contains(record.entry.zone));
-        m_services[record.entry.service].push_back(pool.get());
-    }
-    changeLimits(table, share);
-}
-
-void searcher_fleet::drop(const searcher_directory& directory)
+void searcher_fleet::updateEntries(const searcher_directory& directory, const std::set<searcher_id>& changed, const routing_table& table, const member_share& share)
 {
-    for (auto item = m_pools.begin(); item != m_pools.end();) {
-        if (directory.records().contains(item->first)) {
-            ++item;
+    std::set<service_id> services;
+    for (const auto& id : changed) {
+        if (const auto known = m_pools.find(id); known != m_pools.end())
+            services.insert(known->second->entry().service);
+        const auto found = directory.records().find(id);
+        if (found == directory.records().end()) {
+            drop(id);
             continue;
         }
-        auto entry = item->second->entry();
-        logEvent(event::searcher_gone, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("running", item->second->runningCalls()));
-        entry.draining = true; // finishes what runs, takes nothing more
-        item->second->update(entry, {});
-        m_leaving.push_back(std::move(item->second));
-        item = m_pools.erase(item);
+        put(found->second);
+        services.insert(found->second.entry.service);
     }
+    for (const auto& service : services)
+        changeLimits(service, table, share);
 }
 
-void searcher_fleet::changeLimits(const routing_table& table, const member_share& share)
+void searcher_fleet::updateRules(const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated)
 {
+    m_evacuated = evacuated;
     m_retrySlack = share.slack(m_bounds.retrySlack);
     for (auto& [service, allowance] : m_allowances)
         allowance.changeSlack(m_retrySlack);
-    for (const auto& [service, pools] : m_services) {
-        const auto* limits = table.service(service);
-        const auto all = static_cast<std::size_t>(std::count_if(pools.begin(), pools.end(), [](const searcher_pool* pool) { return !pool->entry().draining; }));
-        std::size_t index = 0;
-        for (auto* pool : pools) {
-            if (limits == nullptr) {
-                pool->changeLimits(0, 0, {});
-                continue;
-            }
-            const auto cold = share.coldRequests(pool->entry().id, limits->coldPerSecond * m_bounds.coldFactor + m_bounds.coldSlack);
-            pool->changeLimits(share.connections(service, index, all, limits->connections), cold, limits->healthPath);
-            if (!pool->entry().draining)
-                ++index;
+    for (const auto& [id, pool] : m_pools)
+        pool->setEvacuated(evacuated.contains(pool->entry().zone));
+    for (const auto& [service, pools] : m_services)
+        changeLimits(service, table, share);
+}
+
+void searcher_fleet::put(const searcher_directory::record& record)
+{
+    const auto& entry = record.entry;
+    if (const auto known = m_pools.find(entry.id); known != m_pools.end() && known->second->entry().service != entry.service)
+        drop(entry.id); // the name now stands for a searcher of another service
+    auto& pool = m_pools[entry.id];
+    if (!pool || !(pool->entry() == entry))
+        logEvent(event::searcher_listed, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("address", entry.address).add("zone", entry.zone.value()).add("state", entry.draining ? "draining" : "ready").add("cold_ms", entry.coldLeft).add("born", entry.born));
+    if (!pool) {
+        pool = std::make_unique<searcher_pool>(m_executor, m_protocol, entry);
+        auto& pools = m_services[entry.service];
+        const auto position = std::lower_bound(pools.begin(), pools.end(), entry.id, [](const searcher_pool* other, const searcher_id& id) { return other->entry().id < id; });
+        pools.insert(position, pool.get());
+    }
+    pool->update(entry, record.coldUntil);
+    pool->setEvacuated(m_evacuated.contains(entry.zone));
+}
+
+void searcher_fleet::drop(const searcher_id& searcher)
+{
+    const auto found = m_pools.find(searcher);
+    if (found == m_pools.end())
+        return;
+    auto entry = found->second->entry();
+    logEvent(event::searcher_gone, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("running", found->second->runningCalls()));
+    auto& pools = m_services[entry.service];
+    std::erase(pools, found->second.get());
+    if (pools.empty())
+        m_services.erase(entry.service);
+    entry.draining = true; // finishes what runs, takes nothing more
+    found->second->update(entry, {});
+    m_leaving.push_back(std::move(found->second));
+    m_pools.erase(found);
+}
+
+void searcher_fleet::changeLimits(const service_id& service, const routing_table& table, const member_share& share)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return;
+    const auto* limits = table.service(service);
+    const auto taking = static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(), [](const searcher_pool* pool) { return !pool->entry().draining; }));
+    std::size_t index = 0;
+    for (auto* pool : found->second) {
+        if (limits == nullptr) {
+            pool->changeLimits(0, 0, {});
+            continue;
         }
+        const auto cold = share.coldRequests(pool->entry().id, limits->coldPerSecond * m_bounds.coldFactor + m_bounds.coldSlack);
+        pool->changeLimits(share.connections(service, index, taking, limits->connections), cold, limits->healthPath);
+        if (!pool->entry().draining)
+            ++index;
     }
 }
 
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -25,8 +25,11 @@
 public:
     searcher_fleet(asio::any_io_executor executor, const gateway_protocol& protocol, data_centre_id ownZone, shared_bounds bounds);
 
-    // Takes over a change of the directory, the table, the members or the zones to be emptied.
-    void update(const searcher_directory& directory, const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated);
+    // Takes over changed entries of the directory. Costs only what they are.
+    void updateEntries(const searcher_directory& directory, const std::set<searcher_id>& changed, const routing_table& table, const member_share& share);
+
+    // Takes over a change of the table, the members or the zones to be emptied, for all searchers.
+    void updateRules(const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated);
 
     // Takes effect with the next update.
     void changeBounds(const shared_bounds& bounds) { m_bounds = bounds; }
@@ -65,14 +68,16 @@
     [[nodiscard]] totals count(monotonic_time now);
 
 private:
-    void drop(const searcher_directory& directory);
-    void changeLimits(const routing_table& table, const member_share& share);
+    void put(const searcher_directory::record& record);
+    void drop(const searcher_id& searcher);
+    void changeLimits(const service_id& service, const routing_table& table, const member_share& share);
 
     asio::any_io_executor m_executor;
     const gateway_protocol& m_protocol;
     data_centre_id m_ownZone;
     shared_bounds m_bounds;
     double m_retrySlack = 0; // this process's part
+    std::set<data_centre_id> m_evacuated;
     std::map<searcher_id, std::unique_ptr<searcher_pool>> m_pools;
     std::map<service_id, std::vector<searcher_pool*>> m_services; // by searcher id within a service
     std::map<service_id, retry_allowance> m_allowances;
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -361,6 +361,8 @@
     const auto now = monotonic_clock::now();
     if (!gone->used && now - gone->idleSince < crowdedWithin) {
         backOff(now); // closed as soon as it was open: the searcher has no room for another
+        if (isLogged(event::searcher_crowded))
+            logEvent(event::searcher_crowded, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("limit", m_connectionLimit).add("retry_ms", m_retryDelay));
         return;
     }
     const bool isIdleLimit = now - gone->idleSince >= m_idleLimit.value_or(assumedIdleLimit) - idleTolerance;
--- a/src/state/searcher_directory.cc
+++ b/src/state/searcher_directory.cc
@@ -41,25 +41,37 @@
         found->second.dropAt = now + lapseGrace;
 }
 
-void searcher_directory::replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage)
+std::set<searcher_id> searcher_directory::replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage)
 {
     std::set<searcher_id> present;
+    std::set<searcher_id> changed;
     for (const auto& entry : entries) {
         present.insert(entry.id);
-        put(entry, now);
+        if (put(entry, now))
+            changed.insert(entry.id);
     }
     std::vector<searcher_id> absent;
     for (const auto& [id, record] : m_records) {
         if (!present.contains(id))
             absent.push_back(id);
     }
-    for (const auto& id : absent)
+    for (const auto& id : absent) {
         remove(id, now, afterOutage);
+        changed.insert(id);
+    }
+    return changed;
 }
 
-bool searcher_directory::expire(monotonic_time now)
+std::set<searcher_id> searcher_directory::expire(monotonic_time now)
 {
-    return std::erase_if(m_records, [&](const auto& item) { return item.second.dropAt && *item.second.dropAt <= now; }) > 0;
+    std::set<searcher_id> expired;
+    for (const auto& [id, record] : m_records) {
+        if (record.dropAt && *record.dropAt <= now)
+            expired.insert(id);
+    }
+    for (const auto& id : expired)
+        m_records.erase(id);
+    return expired;
 }
 
 } // namespace limpetpier
--- a/test/searcher_directory_test.cc
+++ b/test/searcher_directory_test.cc
@@ -36,15 +36,15 @@
 
     SECTION("and dropped after it")
     {
-        CHECK_FALSE(directory.expire(start + searcher_directory::lapseGrace - milliseconds(1)));
-        CHECK(directory.expire(start + searcher_directory::lapseGrace));
+        CHECK(directory.expire(start + searcher_directory::lapseGrace - milliseconds(1)).empty());
+        CHECK(directory.expire(start + searcher_directory::lapseGrace).size() == 1);
         CHECK(directory.records().empty());
     }
 
     SECTION("and stays if it is back in time")
     {
         CHECK(directory.put(makeEntry("a"), start + milliseconds(1000)));
-        CHECK_FALSE(directory.expire(start + searcher_directory::lapseGrace));
+        CHECK(directory.expire(start + searcher_directory::lapseGrace).empty());
         CHECK(directory.records().size() == 1);
     }
 }
