--- a/include/limpetpier/coordination/member_share.h
+++ b/include/limpetpier/coordination/member_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -16,15 +17,19 @@
     // members are the names of all live processes, this one among them or not yet.
     member_share(node_id self, std::vector<node_id> members);
 
-    // Members to divide by; never less than leastMembers, so that a short list cannot inflate a share.
+    // Members to divide by.
     [[nodiscard]] std::size_t members() const { return m_count; }
 
     // Position of this process among the members, in an order that differs from one subject to the next.
     [[nodiscard]] std::size_t rank(const std::string& subject) const;
 
-    // Connections that this process may hold to one searcher of a service. Below one connection each, the members
-    // take turns: each leaves out some of a service's searchers, evenly.
-    [[nodiscard]] std::uint32_t connections(const service_id& service, std::size_t searcherIndex, std::size_t searchers, std::uint32_t bound) const;
+    // Connections that this process may hold to one searcher: its part of the bound, and one at least for a short time.
+    [[nodiscard]] std::uint32_t connections(std::uint32_t bound) const { return std::max<std::uint32_t>(1, bound / static_cast<std::uint32_t>(m_count)); }
+
+    // Whether this process keeps a connection ready to one searcher of a service. Ready connections of all members take
+    // half of a bound at most, so that those of processes that restart fit in before a searcher has noticed that the old
+    // ones are gone. Where that is less than one each, every member keeps some of a service's searchers, evenly.
+    [[nodiscard]] bool keepsReady(const service_id& service, std::size_t searcherIndex, std::size_t searchers, std::uint32_t bound) const;
 
     // Requests that this process may send to one cold searcher in any second.
     [[nodiscard]] std::uint32_t coldRequests(const searcher_id& searcher, double boundPerSecond) const;
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -11,6 +11,10 @@
 // Cost of leaving the own zone, in multiples of an ordinary reply's time: decides between equals only.
 constexpr double otherZoneCost = 0.3;
 
+// Ready connections opened in one round of maintenance: searchers take each with a slot for some milliseconds, and all
+// processes may start at the same time.
+constexpr std::uint32_t mostOpenedAtOnce = 24;
+
 } // namespace
 
 searcher_fleet::searcher_fleet(asio::any_io_executor executor, const gateway_protocol& protocol, data_centre_id ownZone, shared_bounds bounds)
@@ -96,11 +100,11 @@
     std::size_t index = 0;
     for (auto* pool : found->second) {
         if (limits == nullptr) {
-            pool->changeLimits(0, 0, {});
+            pool->changeLimits({});
             continue;
         }
         const auto cold = share.coldRequests(pool->entry().id, limits->coldPerSecond * m_bounds.coldFactor + m_bounds.coldSlack);
-        pool->changeLimits(share.connections(service, index, taking, limits->connections), cold, limits->healthPath);
+        pool->changeLimits({ share.connections(limits->connections), share.keepsReady(service, index, taking, limits->connections), cold, limits->healthPath });
         if (!pool->entry().draining)
             ++index;
     }
@@ -178,8 +182,15 @@
 
 void searcher_fleet::maintain(monotonic_time now)
 {
-    for (const auto& [id, pool] : m_pools)
-        pool->maintain(now);
+    // Begins behind the searcher at which the last round stopped, so that all get their turn.
+    std::uint32_t opened = 0;
+    auto next = m_pools.upper_bound(m_lastMaintained);
+    for (std::size_t count = 0; count < m_pools.size() && opened < mostOpenedAtOnce; ++count, ++next) {
+        if (next == m_pools.end())
+            next = m_pools.begin();
+        opened += next->second->maintain(now) ? 1 : 0;
+        m_lastMaintained = next->first;
+    }
     for (const auto& pool : m_leaving)
         pool->maintain(now);
     std::erase_if(m_leaving, [](const auto& pool) { return pool->runningCalls() == 0; });
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -76,6 +76,7 @@
     const gateway_protocol& m_protocol;
     data_centre_id m_ownZone;
     shared_bounds m_bounds;
+    searcher_id m_lastMaintained;
     double m_retrySlack = 0; // this process's part
     std::set<data_centre_id> m_evacuated;
     std::map<searcher_id, std::unique_ptr<searcher_pool>> m_pools;
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -79,11 +79,10 @@
         closeIdle();
 }
 
-void searcher_pool::changeLimits(std::uint32_t connections, std::uint32_t coldRequestsPerSecond, std::string healthPath)
+void searcher_pool::changeLimits(const pool_limits& limits)
 {
-    m_connectionLimit = connections;
-    m_cold.changeLimit(coldRequestsPerSecond);
-    m_healthPath = std::move(healthPath);
+    m_limits = limits;
+    m_cold.changeLimit(limits.coldRequestsPerSecond);
 }
 
 void searcher_pool::setEvacuated(bool evacuated)
@@ -95,13 +94,13 @@
 
 bool searcher_pool::isUsable(monotonic_time now)
 {
-    if (m_entry.draining || m_evacuated || !m_verified || m_connectionLimit == 0)
+    if (m_entry.draining || m_evacuated || !m_verified || m_limits.connections == 0)
         return false;
     if (now < m_coldUntil && !m_cold.allows(now))
         return false;
     if (idleSlot(now))
         return true;
-    return now >= m_retryAt && m_queue.size() < m_connectionLimit * queueFactor && (m_slots.size() < m_connectionLimit || connecting() > m_queue.size());
+    return now >= m_retryAt && m_queue.size() < m_limits.connections * queueFactor && (m_slots.size() < m_limits.connections || connecting() > m_queue.size());
 }
 
 double searcher_pool::cost(monotonic_time now) const
@@ -144,7 +143,7 @@
 {
     m_queue.push_back(call);
     pump();
-    if (!call->written && connecting() < m_queue.size() && m_slots.size() < m_connectionLimit)
+    if (!call->written && connecting() < m_queue.size() && m_slots.size() < m_limits.connections)
         openSlot();
 }
 
@@ -275,7 +274,7 @@
 {
     opened->verifying = true;
     opened->closeAt = monotonic_clock::now() + healthTimeout;
-    opened->channel->exchange(m_protocol.encodeHealthCheck(m_healthPath), false, {}, [this, alive = m_alive, opened](const exchange_result& result) {
+    opened->channel->exchange(m_protocol.encodeHealthCheck(m_limits.healthPath), false, {}, [this, alive = m_alive, opened](const exchange_result& result) {
         if (*alive)
             handleHealth(opened, result);
     });
@@ -362,7 +361,7 @@
     if (!gone->used && now - gone->idleSince < crowdedWithin) {
         backOff(now); // closed as soon as it was open: the searcher has no room for another
         if (isLogged(event::searcher_crowded))
-            logEvent(event::searcher_crowded, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("limit", m_connectionLimit).add("retry_ms", m_retryDelay));
+            logEvent(event::searcher_crowded, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("limit", m_limits.connections).add("retry_ms", m_retryDelay));
         return;
     }
     const bool isIdleLimit = now - gone->idleSince >= m_idleLimit.value_or(assumedIdleLimit) - idleTolerance;
@@ -394,11 +393,12 @@
         return now >= *slot.closeAt;
     if (!slot.channel->isIdle())
         return false;
-    const bool spare = m_slots.size() > m_connectionLimit || (m_slots.size() > 1 && now - slot.idleSince > spareLife);
+    const bool isSpare = m_slots.size() > 1 || !m_limits.keepReady;
+    const bool spare = m_slots.size() > m_limits.connections || (isSpare && now - slot.idleSince > spareLife);
     return spare || slot.channel->usableUntil() <= now;
 }
 
-void searcher_pool::maintain(monotonic_time now)
+bool searcher_pool::maintain(monotonic_time now)
 {
     for (auto due = std::find_if(m_slots.begin(), m_slots.end(), [&](const slot_handle& slot) { return isDue(*slot, now); }); due != m_slots.end();
          due = std::find_if(m_slots.begin(), m_slots.end(), [&](const slot_handle& slot) { return isDue(*slot, now); })) {
@@ -408,8 +408,11 @@
         if (gone->verifying)
             handleBreak();
     }
-    if (m_slots.empty() && !m_entry.draining && !m_evacuated && m_connectionLimit > 0 && now >= m_retryAt && (now - m_lastUse < readyFor || !m_verified))
-        openSlot();
+    const bool wanted = !m_verified || (m_limits.keepReady && now - m_lastUse < readyFor);
+    if (!m_slots.empty() || m_entry.draining || m_evacuated || m_limits.connections == 0 || now < m_retryAt || !wanted)
+        return false;
+    openSlot();
+    return true;
 }
 
 } // namespace limpetpier
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -10,6 +10,14 @@
 
 namespace limpetpier {
 
+// This process's part of a searcher's bounds; with no connections nothing is sent.
+struct pool_limits {
+    std::uint32_t connections = 0;
+    bool keepReady = false; // a connection is kept open between requests
+    std::uint32_t coldRequestsPerSecond = 0;
+    std::string healthPath = "/";
+};
+
 // Connections and running calls of one searcher.
 class searcher_pool {
 public:
@@ -20,7 +28,7 @@
 
     // Takes over what the platform's list says now. A new start or address ends the old connections.
     void update(const searcher_entry& entry, monotonic_time coldUntil);
-    void changeLimits(std::uint32_t connections, std::uint32_t coldRequestsPerSecond, std::string healthPath);
+    void changeLimits(const pool_limits& limits);
     void setEvacuated(bool evacuated);
 
     [[nodiscard]] const searcher_entry& entry() const { return m_entry; }
@@ -29,7 +37,7 @@
     [[nodiscard]] bool isUsable(monotonic_time now);
 
     // True if requests may be sent now or as soon as a connection is free.
-    [[nodiscard]] bool isReachable() const { return !m_entry.draining && !m_evacuated && m_verified && m_connectionLimit > 0; }
+    [[nodiscard]] bool isReachable() const { return !m_entry.draining && !m_evacuated && m_verified && m_limits.connections > 0; }
 
     // Expected cost of sending here, in multiples of an ordinary reply's time; smaller is better.
     [[nodiscard]] double cost(monotonic_time now) const;
@@ -44,8 +52,8 @@
     // Records a reply's time in multiples of the ordinary one.
     void recordSlowness(double multiple, monotonic_time now);
 
-    // Opens the connection that is kept ready, ends what lingered too long.
-    void maintain(monotonic_time now);
+    // Ends what lingered too long, and opens the connection that is kept ready; true if it did the latter.
+    bool maintain(monotonic_time now);
 
     [[nodiscard]] std::size_t openConnections() const { return m_slots.size(); }
     [[nodiscard]] std::size_t runningCalls() const;
@@ -84,8 +92,7 @@
     searcher_entry m_entry;
     monotonic_time m_coldUntil {};
     cold_allowance m_cold;
-    std::string m_healthPath = "/";
-    std::uint32_t m_connectionLimit = 0;
+    pool_limits m_limits;
     bool m_evacuated = false;
     bool m_verified = true;
     std::uint32_t m_illAnswers = 0;
--- a/src/coordination/member_share.cc
+++ b/src/coordination/member_share.cc
@@ -41,15 +41,14 @@
     return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const node_id& member) { return hashOf(subject, member.value()) < own; }));
 }
 
-std::uint32_t member_share::connections(const service_id& service, std::size_t searcherIndex, std::size_t searchers, std::uint32_t bound) const
+bool member_share::keepsReady(const service_id& service, std::size_t searcherIndex, std::size_t searchers, std::uint32_t bound) const
 {
-    const auto each = static_cast<std::uint32_t>(bound / m_count);
-    if (each >= 1 || searchers == 0)
-        return std::max(each, 1U);
-    // Fewer connections than members: this many of the service's searchers, beginning at one chosen by rank.
-    const auto used = std::max<std::size_t>(1, searchers * bound / m_count);
-    const auto offset = (searcherIndex + searchers - rank(service.value()) % searchers) % searchers;
-    return offset < used ? 1 : 0;
+    const std::size_t usable = bound / 2;
+    if (usable >= m_count || searchers == 0)
+        return true;
+    // This many of the service's searchers, beginning at one chosen by rank.
+    const auto kept = std::max<std::size_t>(1, searchers * usable / m_count);
+    return (searcherIndex + searchers - rank(service.value()) % searchers) % searchers < kept;
 }
 
 std::uint32_t member_share::coldRequests(const searcher_id& searcher, double boundPerSecond) const
