--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -17,9 +17,8 @@
 
 constexpr milliseconds maintenanceInterval { 100 };
 
-// All keys are followed by one watch, as each call is priced. Its connection is probed, so a long wait hides no silence;
-// changes of the pause come in one call, well within the bounds for configurations and draining.
-constexpr follow_policy storePolicy { milliseconds(25'000), milliseconds(700) };
+// All keys are followed by one watch, as each call is priced. Its connection is probed, so a long wait hides no silence.
+constexpr milliseconds longestWatch { 25'000 };
 
 // At the start the member list is taken as whole after this time in any case.
 constexpr milliseconds settleAtMost { 2500 };
@@ -49,7 +48,7 @@
     , m_share(m_settings.node, {})
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
     , m_context { io.get_executor(), protocol, m_fleet, [this](const run_report& ended) { report(ended); }, 0 }
-    , m_store(io.get_executor(), store, {}, storePolicy,
+    , m_store(io.get_executor(), store, {}, { longestWatch, m_settings.viewDelay },
           { [this](const std::vector<store_item>& items, bool afterOutage) { replaceView(items, afterOutage); },
               [this](const store_item& item, bool afterOutage) { applyChange(item, afterOutage); },
               [this](bool reachable) { handleStore(reachable); } })
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -23,6 +23,7 @@
     shared_bounds bounds;
     milliseconds stopGrace { 6000 }; // from the signal to the forced end
     milliseconds memberLife { 6000 }; // time to live of the entry in the member list
+    milliseconds viewDelay { 700 }; // changes in the store are gathered for this long
     milliseconds memberSettle { 800 }; // at the start, time without a change after which the member list is whole
 };
 
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -1,4 +1,5 @@
 #include <boost/asio.hpp>
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -24,6 +25,10 @@
 // A settings file that changed without a signal is noticed within this time.
 constexpr std::chrono::seconds rereadInterval { 5 };
 
+// Part of the tighter bound of draining and configuration in which changes are gathered; the rest is for the store, which
+// may be slow, and for requests under way.
+constexpr int viewDelayPercent = 30;
+
 // Time to live in the member list, in multiples of the store's shortest.
 constexpr int memberLifeFactor = 15;
 
@@ -36,6 +41,7 @@
     settings.readyAddress = node.readyAddress;
     settings.peerAddress = node.ip + ":" + std::to_string(node.firstPeerPort);
     settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack };
+    settings.viewDelay = std::min(node.drainBound, node.tableBound) * viewDelayPercent / 100;
     settings.stopGrace = node.stopGrace;
     settings.memberLife = node.shortestLease * memberLifeFactor;
     return settings;
--- a/test/node_settings_test.cc
+++ b/test/node_settings_test.cc
@@ -20,6 +20,8 @@
 front = "10.1.0.9:8104"
 readyAddr = "10.1.0.9:8108"
 [bounds]
+drainMs = 3000
+configApplyMs = 3000
 graceS = 6
 retryBudget = 0.2
 budgetWindowS = 10
--- a/test/standins/platform_standin.cc
+++ b/test/standins/platform_standin.cc
@@ -48,7 +48,7 @@
     const auto address = [&](int offset) { return "\"127.0.0.1:" + std::to_string(basePort + offset) + "\"\n"; };
     return "nodeName = \"front-1\"\nip = \"127.0.0.1\"\nzone = \"zone-1\"\ninternalPorts = [" + std::to_string(basePort + 3) + "," + std::to_string(basePort + 3)
         + "]\nheartbeatMs = 1200\n[listenAddrs]\nfront = " + address(1) + "readyAddr = " + address(2)
-        + "[bounds]\ngraceS = 6\nretryBudget = 0.2\nbudgetWindowS = 10\nbudgetSlack = 58\ncoldOvershoot = 1.5\ncoldSlack = 5\n[platform]\naddress = " + address(0) + "ttlMinMs = 1000\n";
+        + "[bounds]\ndrainMs = 3000\nconfigApplyMs = 3000\ngraceS = 6\nretryBudget = 0.2\nbudgetWindowS = 10\nbudgetSlack = 58\ncoldOvershoot = 1.5\ncoldSlack = 5\n[platform]\naddress = " + address(0) + "ttlMinMs = 1000\n";
 }
 
 int run(int argc, char** argv)
