A backlog of changes is read without pauses

Ruled out: the outage itself (all were back within 0.4 s of its end). Change: no pause after an answer with 64 changes or more, nor for 2.5 s after an outage. Test: gateway_view_test, with a store that answers a hundred changes at a time; it failed before.

--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -43,6 +43,9 @@
     // For this long after the store's return, removals count as lapses of the outage.
     static constexpr milliseconds outageEcho { 2500 };
 
+    // An answer with this many changes is taken for a part of a backlog, and the next is asked for at once.
+    static constexpr std::size_t backlogItems = 64;
+
 private:
     void load(const std::string& after);
     void handlePage(store_result result, store_page page);
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -74,7 +74,8 @@
     m_at = std::max(m_at, page.at);
     for (const auto& item : page.items)
         m_handle.changed(item, isAfterOutage());
-    if (m_policy.pause.count() > 0 && !page.items.empty())
+    const bool isBacklog = page.items.size() >= backlogItems || isAfterOutage();
+    if (m_policy.pause.count() > 0 && !page.items.empty() && !isBacklog)
         later(m_policy.pause, &store_follower::watch);
     else
         watch();
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -160,3 +160,15 @@
     CHECK_FALSE(fixture.isReady());
     CHECK(fixture.runUntil([&] { return searcher.server().accepted() > 0; }));
 }
+
+TEST_CASE("A backlog of changes is read without pauses")
+{
+    view_fixture fixture;
+    fixture.store.setMood(store_mood::rejecting);
+    fixture.run(milliseconds(300));
+    for (int change = 0; change < 600; ++change)
+        fixture.store.put("servers/a2", fixture.searchers["a2"]->entry("a", "z1", change % 2 == 0 ? "draining" : "ready"));
+    fixture.configure(6, newRoute);
+    fixture.store.setMood(store_mood::well);
+    CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }, viewDelay));
+}
--- a/test/standins/platform_store.cc
+++ b/test/standins/platform_store.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// A watch passes on its backlog in answers of this many changes.
+constexpr std::size_t mostEvents = 100;
+
 std::string encodeBase64(const std::string& bytes)
 {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
@@ -111,9 +114,13 @@
 bool platform_store::answerWatch(const waiting_watch& watch, bool evenIfEmpty)
 {
     json::array events;
+    auto at = m_revision;
     for (const auto& change : m_history) {
         if (change.state.revision <= watch.after || !change.key.starts_with(watch.prefix))
             continue;
+        if (events.size() >= mostEvents)
+            break;
+        at = change.state.revision;
         if (change.deleted)
             events.push_back(json::object { { "key", change.key }, { "rev", change.state.revision }, { "deleted", true } });
         else
@@ -121,7 +128,7 @@
     }
     if (events.empty() && !evenIfEmpty)
         return false;
-    answer(watch.exchange, 200, json::serialize(json::object { { "events", events }, { "at", m_revision } }));
+    answer(watch.exchange, 200, json::serialize(json::object { { "events", events }, { "at", events.size() >= mostEvents ? at : m_revision } }));
     return true;
 }
 
