Gateways give each other their view of the store

Change: after 0.6 s without the store a peer is asked, by the member list or the seeds; a later view is taken over, versions only rise; sealed frames of the product's nodes. Tests: gateway_view_test with a second gateway before a store that rejects it: from its start, later configuration, draining searcher, wrong secret.

--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -11,6 +11,7 @@
 #include "limpetpier/coordination/idempotency_table.h"
 #include "limpetpier/coordination/suspicion_table.h"
 #include "limpetpier/state/assignment_epoch.h"
+#include "limpetpier/state/routing_table.h"
 #include "limpetpier/state/snapshot.h"
 
 namespace limpetpier {
@@ -232,8 +233,50 @@
     }
 };
 
+// Asks another gateway for its view of the platform's store. Gateway to gateway, while the store turns the sender away.
+struct view_request {
+    template <typename Archive>
+    void serialize(Archive&)
+    {
+    }
+};
+
+// One searcher of a view.
+struct viewed_searcher {
+    searcher_id id;
+    service_id service;
+    std::string address;
+    data_centre_id zone;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    std::int64_t coldLeftMs = 0; // from when the reply was sent
+    std::uint64_t born = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, service, address, zone, slots, draining, coldLeftMs, born);
+    }
+};
+
+// What a gateway knows of the store.
+struct view_reply {
+    std::int64_t ageMs = 0; // since the store last answered it
+    std::string tableText; // the operator's configuration as it lies in the store
+    std::vector<data_centre_id> evacuated;
+    std::vector<viewed_searcher> searchers;
+    std::vector<node_id> members;
+    std::vector<std::string> memberAddresses; // in the order of members
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(ageMs, tableText, evacuated, searchers, members, memberAddresses);
+    }
+};
+
 using node_message = std::variant<ping_message, search_batch, sub_reply, slow_notice, cancel_message, digest_request, digest_reply,
-    state_request, state_reply, order_request, run_request, call_reply, handover_message, handover_ack>;
+    state_request, state_reply, order_request, run_request, call_reply, handover_message, handover_ack, view_request, view_reply>;
 
 // A heartbeat over UDP, and its acknowledgement.
 struct probe_message {
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -20,6 +20,10 @@
 // All keys are followed by one watch, as each call is priced. Its connection is probed, so a long wait hides no silence.
 constexpr milliseconds longestWatch { 25'000 };
 
+// Without the store for this long, peers are asked for their view; then again after each interval.
+constexpr milliseconds askPeersAfter { 600 };
+constexpr milliseconds askPeersInterval { 700 };
+
 // At the start the member list is taken as whole after this time in any case.
 constexpr milliseconds settleAtMost { 2500 };
 
@@ -73,6 +77,9 @@
         m_scrapes = std::make_unique<client_listener>(m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
             [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); });
     }
+    if (!m_settings.nodeSecret.empty())
+        m_peers = std::make_unique<peer_views>(
+            m_io.get_executor(), m_settings.peerAddress, m_settings.nodeSecret, [this] { return ownView(); }, [this](const view_reply& view) { adoptView(view); });
     m_store.start();
     m_membership.start();
     maintain();
@@ -115,7 +122,7 @@
     if (isLogged(event::request_begun))
         logEvent(event::request_begun, event_fields().add("request", request->id).add("route", rule->name).add("table", m_table->version().value()).add("time_left_ms", request->timeLeft.value_or(rule->timeout)).add("view_age_ms", viewAge()));
     const auto timeLeft = std::min(rule->timeout, request->timeLeft.value_or(rule->timeout));
-    run_request run { std::move(request), m_table, rule, &m_records[rule->name], now, now + timeLeft, std::move(call) };
+    accepted_request run { std::move(request), m_table, rule, &m_records[rule->name], now, now + timeLeft, std::move(call) };
     if (rule->isQuery())
         startGatherRun(m_context, std::move(run));
     else
@@ -175,7 +182,8 @@
 // Cut off from the store for a while, and the searchers known are gone: others serve better.
 bool gateway::isLost() const
 {
-    return !m_store.isReachable() && monotonic_clock::now() - m_store.lastAnswer() > staleAfter && !m_fleet.canServe(*m_table);
+    const auto known = std::max(m_peerViewAt.value_or(monotonic_time {}), m_store.lastAnswer());
+    return !m_store.isReachable() && monotonic_clock::now() - known > staleAfter && !m_fleet.canServe(*m_table);
 }
 
 void gateway::report(const run_report& ended)
@@ -249,6 +257,7 @@
             return;
         logEvent(event::table_adopted, event_fields().add("version", table->version().value()).add("before", m_table ? m_table->version().value() : 0).add("routes", table->routes().size()));
         m_table = std::move(table);
+        m_tableText = text;
         m_clients.changeLimits(m_table->limits());
     } catch (const std::exception& error) {
         logEvent(event::table_unreadable, event_fields().add("error", error.what()));
@@ -295,6 +304,68 @@
     m_rulesChanged = true;
 }
 
+std::optional<view_reply> gateway::ownView() const
+{
+    if (!m_table || !m_store.hasRead())
+        return {};
+    const auto now = monotonic_clock::now();
+    view_reply view;
+    // A watch that waits is as good as an answer: only a store that cannot be reached makes a view old.
+    view.ageMs = m_store.isReachable() ? 0 : viewAge().count();
+    view.tableText = m_tableText;
+    view.evacuated.assign(m_evacuated.begin(), m_evacuated.end());
+    for (const auto& [id, record] : m_directory.records()) {
+        const auto& entry = record.entry;
+        const auto coldLeft = std::chrono::duration_cast<milliseconds>(std::max(record.coldUntil, now) - now);
+        view.searchers.push_back({ id, entry.service, entry.address, entry.zone, entry.slots, entry.draining, coldLeft.count(), entry.born });
+    }
+    for (const auto& [node, address] : m_membership.members()) {
+        view.members.push_back(node);
+        view.memberAddresses.push_back(address);
+    }
+    return view;
+}
+
+// Takes over a peer's view if the store answered that peer later than this process.
+void gateway::adoptView(const view_reply& view)
+{
+    const auto now = monotonic_clock::now();
+    const auto answered = now - milliseconds(view.ageMs);
+    const auto known = std::max(m_peerViewAt.value_or(monotonic_time {}), m_store.lastAnswer());
+    if (m_store.isReachable() || answered <= known || view.members.size() != view.memberAddresses.size())
+        return;
+    m_peerViewAt = answered;
+    adoptTable(view.tableText);
+    m_evacuated = { view.evacuated.begin(), view.evacuated.end() };
+    std::vector<searcher_entry> entries;
+    for (const auto& searcher : view.searchers)
+        entries.push_back({ searcher.id, searcher.service, searcher.address, searcher.zone, searcher.slots, searcher.draining, milliseconds(searcher.coldLeftMs), searcher.born });
+    m_changedSearchers.merge(m_directory.replaceAll(entries, now, false));
+    m_membership.clear();
+    for (std::size_t index = 0; index < view.members.size(); ++index)
+        m_membership.put(view.members[index], view.memberAddresses[index]);
+    m_rulesChanged = true;
+    m_settled = true;
+    changeMembers();
+    logEvent(event::view_from_peer, event_fields().add("age_ms", view.ageMs).add("table", m_table ? m_table->version().value() : 0).add("searchers", entries.size()));
+}
+
+void gateway::askPeer(monotonic_time now)
+{
+    if (!m_peers || m_store.isReachable() || now < m_askPeerAt || now - m_store.lastAnswer() < askPeersAfter)
+        return;
+    m_askPeerAt = now + askPeersInterval;
+    std::vector<std::string> addresses;
+    for (const auto& [node, address] : m_membership.members())
+        addresses.push_back(address);
+    if (addresses.empty())
+        addresses = m_settings.seeds;
+    std::erase(addresses, m_settings.peerAddress);
+    // Another one each time, and each process begins at another.
+    if (!addresses.empty())
+        m_peers->ask(addresses[(m_share.rank("peers") + m_peersAsked++) % addresses.size()]);
+}
+
 // Processes that start together see each other come; shares taken from a short list would add up to too much.
 void gateway::settle(monotonic_time now)
 {
@@ -322,6 +393,7 @@
     if (m_membersChanged)
         changeMembers();
     settle(now);
+    askPeer(now);
     refreshFleet();
     m_fleet.maintain(now);
     flushLog();
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "limpetpier/coordination/traffic_split.h"
 #include "limpetpier/transport/store_follower.h"
 #include "membership.h"
+#include "peer_views.h"
 #include "request_run.h"
 
 namespace limpetpier {
@@ -20,6 +21,8 @@
     std::string readyAddress; // IP:port
     std::string peerAddress; // IP:port
     std::string metricsAddress; // IP:port; empty for none
+    std::string nodeSecret; // shared by the deployment's gateways; without it they give each other no views
+    std::vector<std::string> seeds; // IP:port of some gateways, for a process that never reached the store
     shared_bounds bounds;
     milliseconds stopGrace { 6000 }; // from the signal to the forced end
     milliseconds memberLife { 6000 }; // time to live of the entry in the member list
@@ -55,6 +58,9 @@
     void applySearcher(const store_item& item, bool afterOutage);
     std::optional<searcher_entry> readSearcher(const store_item& item) const;
     void changeMembers();
+    [[nodiscard]] std::optional<view_reply> ownView() const;
+    void adoptView(const view_reply& view);
+    void askPeer(monotonic_time now);
     void settle(monotonic_time now);
     void refreshFleet();
 
@@ -78,6 +84,11 @@
     client_listener m_clients;
     client_listener m_readiness;
     std::unique_ptr<client_listener> m_scrapes;
+    std::unique_ptr<peer_views> m_peers;
+    std::string m_tableText; // of m_table, as it lies in the store
+    std::optional<monotonic_time> m_peerViewAt; // when the store last answered the peer whose view is in force
+    monotonic_time m_askPeerAt {};
+    std::size_t m_peersAsked = 0;
     gateway_metrics m_metrics;
     bool m_saidReady = false;
     asio::steady_timer m_maintenance;
--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -16,7 +16,7 @@
 // are in or waiting for the rest is worth less than answering in time.
 class gather_run final : public run_base, public std::enable_shared_from_this<gather_run> {
 public:
-    gather_run(run_context& context, run_request request)
+    gather_run(run_context& context, accepted_request request)
         : run_base(context, std::move(request))
         , m_policy(m_request.rule->shards.size(), m_request.rule->leastCoverage, m_request.arrived, m_request.rule->objective)
     {
@@ -298,7 +298,7 @@
 
 } // namespace
 
-void startGatherRun(run_context& context, run_request request)
+void startGatherRun(run_context& context, accepted_request request)
 {
     std::make_shared<gather_run>(context, std::move(request))->start();
 }
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -1,5 +1,5 @@
-#include <boost/asio.hpp>
 #include <algorithm>
+#include <boost/asio.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -40,6 +40,8 @@
     settings.clientAddress = node.clientAddress;
     settings.readyAddress = node.readyAddress;
     settings.peerAddress = node.ip + ":" + std::to_string(node.firstPeerPort);
+    for (const auto& host : node.seedHosts)
+        settings.seeds.push_back(host + ":" + std::to_string(node.firstPeerPort));
     settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack };
     settings.viewDelay = std::min(node.drainBound, node.tableBound) * viewDelayPercent / 100;
     settings.stopGrace = node.stopGrace;
@@ -111,6 +113,7 @@
         { "metrics-port", "0", "Port for metrics on the machine's address; 0 for none", setting_kind::number, true, 0, 65535, false },
         { "log-lines", "400", "Most log lines a second; routine ones get half", setting_kind::number, true, 1, 1'000'000, false },
         { "log-bytes", "100000", "Most log bytes a second; routine lines get half", setting_kind::number, true, 100, 100'000'000, false },
+        { "node-secret", "", "Shared secret of the deployment's gateways, for views of the store from each other", setting_kind::text, false, 0, 0, true },
         { "check", "no", "yes: read the settings, say what is wrong with them, and end", setting_kind::text, true, 0, 0, false },
     };
     return table;
@@ -128,6 +131,7 @@
         std::cout << path << ": good\n";
         return EXIT_SUCCESS;
     }
+    settings.nodeSecret = flags.text("node-secret");
     if (flags.number("metrics-port") != 0)
         settings.metricsAddress = node.ip + ":" + flags.text("metrics-port");
     startLog(node.node.value(), { static_cast<std::uint32_t>(flags.number("log-lines")), static_cast<std::uint32_t>(flags.number("log-bytes")), false });
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -21,6 +21,7 @@
     // Takes over one key of the list, or forgets all before a new read.
     void apply(const store_item& item);
     void clear() { m_members.clear(); }
+    void put(const node_id& node, const std::string& address) { m_members[node] = address; }
 
     // True for keys of the list.
     [[nodiscard]] static bool owns(const std::string& key);
--- /dev/null
+++ b/programs/gateway/peer_views.cc
@@ -0,0 +1,51 @@
+#include "peer_views.h"
+
+#include "limpetpier/transport/events.h"
+
+namespace limpetpier {
+
+namespace {
+
+constexpr const char* deploymentName = "limpetpier-gateway";
+
+} // namespace
+
+peer_views::peer_views(const asio::any_io_executor& executor, const std::string& address, const std::string& secret, provider provide, receiver receive)
+    : m_executor(executor)
+    , m_codec(deploymentName, secret)
+    , m_provide(std::move(provide))
+    , m_receive(std::move(receive))
+    , m_server(executor, parseTcpEndpoint(address), m_codec, handlers())
+{
+}
+
+void peer_views::ask(const std::string& address)
+{
+    if (m_asking)
+        m_asking->close(); // the last one did not answer in time
+    m_asking = std::make_shared<node_link>(m_executor, m_codec, handlers(), address);
+    m_asking->connect();
+    m_asking->send(view_request {});
+}
+
+link_handlers peer_views::handlers()
+{
+    link_handlers result;
+    result.onMessage = [this](const node_link_handle& link, const node_message& message) {
+        if (std::holds_alternative<view_request>(message)) {
+            if (const auto view = m_provide())
+                link->send(*view);
+        } else if (const auto* view = std::get_if<view_reply>(&message)) {
+            m_receive(*view);
+            link->close();
+        }
+    };
+    result.onClosed = [this](const node_link_handle& link, bool) {
+        if (link == m_asking)
+            m_asking.reset();
+    };
+    result.onBadFrame = [](const std::string& what) { logEvent(event::bad_frame, event_fields().add("error", what)); };
+    return result;
+}
+
+} // namespace limpetpier
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -47,7 +47,7 @@
 };
 
 // A request as it enters a run.
-struct run_request {
+struct accepted_request {
     std::shared_ptr<const client_request> client;
     std::shared_ptr<const routing_table> table; // keeps the route alive
     const route* rule = nullptr;
@@ -58,9 +58,9 @@
 };
 
 // Sends a request to one searcher of its service and passes on the answer.
-void startSingleRun(run_context& context, run_request request, const service_id& service);
+void startSingleRun(run_context& context, accepted_request request, const service_id& service);
 
 // Sends a query to one searcher of each shard and merges what comes in.
-void startGatherRun(run_context& context, run_request request);
+void startGatherRun(run_context& context, accepted_request request);
 
 } // namespace limpetpier
--- a/programs/gateway/run_base.cc
+++ b/programs/gateway/run_base.cc
@@ -57,7 +57,7 @@
     return replies.quantile(ordinaryQuantile).value_or(microseconds(route.objective) / firstOrdinaryPart);
 }
 
-run_base::run_base(run_context& context, run_request request)
+run_base::run_base(run_context& context, accepted_request request)
     : m_context(context)
     , m_request(std::move(request))
     , m_timer(context.executor)
--- a/programs/gateway/run_base.h
+++ b/programs/gateway/run_base.h
@@ -7,7 +7,7 @@
 // What single and gathering runs have in common: the client, the final answer, one timer.
 class run_base {
 public:
-    run_base(run_context& context, run_request request);
+    run_base(run_context& context, accepted_request request);
     virtual ~run_base();
     run_base(const run_base&) = delete;
     run_base& operator=(const run_base&) = delete;
@@ -31,7 +31,7 @@
     [[nodiscard]] milliseconds timeLeft(monotonic_time now) const { return std::chrono::duration_cast<milliseconds>(m_request.answerBy - now); }
 
     run_context& m_context;
-    run_request m_request;
+    accepted_request m_request;
     run_report m_report;
     asio::steady_timer m_timer;
 
--- a/programs/gateway/single_run.cc
+++ b/programs/gateway/single_run.cc
@@ -12,7 +12,7 @@
 // One request to one searcher of a service, hedged or retried where the route allows it.
 class single_run final : public run_base, public std::enable_shared_from_this<single_run> {
 public:
-    single_run(run_context& context, run_request request, service_id service)
+    single_run(run_context& context, accepted_request request, service_id service)
         : run_base(context, std::move(request))
         , m_service(std::move(service))
     {
@@ -204,7 +204,7 @@
 
 } // namespace
 
-void startSingleRun(run_context& context, run_request request, const service_id& service)
+void startSingleRun(run_context& context, accepted_request request, const service_id& service)
 {
     std::make_shared<single_run>(context, std::move(request), service)->start();
 }
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -55,6 +55,7 @@
     event_entry { event::searcher_gone, event_level::info, "searcher_gone" },
     event_entry { event::searcher_ill, event_level::warning, "searcher_ill" },
     event_entry { event::searcher_crowded, event_level::info, "searcher_crowded", log_importance::routine },
+    event_entry { event::view_from_peer, event_level::info, "view_from_peer" },
     event_entry { event::request_begun, event_level::info, "request_begun", log_importance::routine },
     event_entry { event::request_ended, event_level::info, "request_ended", log_importance::routine },
     event_entry { event::request_failed, event_level::warning, "request_failed" },
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -16,8 +16,9 @@
 // Service "a" with two searchers, configuration 5.
 class view_fixture : public standins::gateway_fixture {
 public:
-    view_fixture()
+    explicit view_fixture(const std::string& nodeSecret = "")
     {
+        settings.nodeSecret = nodeSecret;
         addSearcher("a", "a1", "z");
         addSearcher("a", "a2", "z");
         configure(5);
@@ -172,3 +173,68 @@
     fixture.store.setMood(store_mood::well);
     CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }, viewDelay));
 }
+
+namespace {
+
+// A second gateway, before a store that turns it away, with the first one as its seed.
+class parted_fixture : public view_fixture {
+public:
+    parted_fixture()
+        : view_fixture("secret")
+        , partedStore(io)
+    {
+        partedStore.setMood(store_mood::rejecting);
+        partedSettings = settings;
+        partedSettings.node = node_id("node-2");
+        partedSettings.clientAddress = freeAddress();
+        partedSettings.readyAddress = freeAddress();
+        partedSettings.peerAddress = freeAddress();
+        partedSettings.seeds = { settings.peerAddress };
+        parted = std::make_unique<gateway>(io, protocol, partedClient, partedSettings);
+        parted->start();
+    }
+
+    unsigned askParted(const std::string& path, const std::string& id) { return exchange(partedSettings.clientAddress, request(path, id)).reply.status; }
+
+    standins::platform_store partedStore;
+    platform::kv_store partedClient { io.get_executor(), partedStore.address(), milliseconds(300) };
+    gateway_settings partedSettings;
+    std::unique_ptr<gateway> parted;
+};
+
+} // namespace
+
+TEST_CASE("A process that the store turned away from its start serves by a peer's view")
+{
+    parted_fixture fixture;
+    CHECK(fixture.runUntil([&] { return fixture.askParted("/safe/x", "id1") == 200; }));
+
+    SECTION("and learns of later configurations from peers")
+    {
+        fixture.configure(6, newRoute);
+        CHECK(fixture.runUntil([&] { return fixture.askParted("/new/x", "id2") == 200; }));
+    }
+
+    SECTION("and of searchers that leave")
+    {
+        fixture.store.put("servers/a1", fixture.searchers["a1"]->entry("a", "z1", "draining"));
+        fixture.run(2 * viewDelay);
+        const auto before = fixture.searchers["a1"]->arrivals();
+        for (int request = 0; request < 6; ++request)
+            fixture.askParted("/safe/x", "d" + std::to_string(request));
+        CHECK(fixture.searchers["a1"]->arrivals() == before);
+    }
+}
+
+TEST_CASE("A peer without the deployment's secret learns nothing")
+{
+    parted_fixture fixture;
+    fixture.partedSettings.nodeSecret = "wrong";
+    fixture.partedSettings.clientAddress = fixture.freeAddress();
+    fixture.partedSettings.readyAddress = fixture.freeAddress();
+    fixture.partedSettings.peerAddress = fixture.freeAddress();
+    gateway stranger(fixture.io, fixture.protocol, fixture.partedClient, fixture.partedSettings);
+    stranger.start();
+    fixture.run(2 * viewDelay);
+    CHECK(fixture.askParted("/safe/x", "id1") == 503);
+}
--- a/test/node_settings_test.cc
+++ b/test/node_settings_test.cc
@@ -14,6 +14,7 @@
 zone = "z1"
 internalPorts = [7380,7395]
 heartbeatMs = 1200
+seeds = ["10.1.0.9:8106","10.2.0.21:8106"]
 somethingNew = { a = 1 }
 
 [listenAddrs]
@@ -58,6 +59,7 @@
     CHECK(settings.node == node_id("front-1"));
     CHECK(settings.clientAddress == "10.1.0.9:8104");
     CHECK(settings.firstPeerPort == 7380);
+    CHECK(settings.seedHosts == std::vector<std::string> { "10.1.0.9", "10.2.0.21" });
     CHECK(settings.retrySlack == 58);
     CHECK(settings.retryWindow == milliseconds(10'000));
     CHECK(settings.stopGrace == milliseconds(6000));
