An outage of the store is noticed by lease renewals while the watch hangs; no storm of calls after one

Change: the lease is renewed every 2 s (three heartbeats less the time-out and a margin; a renewal costs a tenth of a read); one that is not answered counts as an outage. Only large answers are taken for a backlog. Test: gateway_view_test, lapsed behind a silent store; it failed before.

--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -32,6 +32,10 @@
 
     void start();
 
+    // Another call to the store was not answered. A watch that waits does not notice an outage; what it says after one is
+    // taken as such.
+    void noteNoAnswer();
+
     [[nodiscard]] bool hasRead() const { return m_hasRead; }
     [[nodiscard]] bool isReachable() const { return m_reachable; }
     [[nodiscard]] monotonic_time lastAnswer() const { return m_lastAnswer; }
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -56,7 +56,7 @@
           { [this](const std::vector<store_item>& items, bool afterOutage) { replaceView(items, afterOutage); },
               [this](const store_item& item, bool afterOutage) { applyChange(item, afterOutage); },
               [this](bool reachable) { handleStore(reachable); } })
-    , m_membership(io.get_executor(), store, m_settings.node, m_settings.peerAddress, m_settings.memberLife)
+    , m_membership(io.get_executor(), store, m_settings.node, m_settings.peerAddress, m_settings.member, [this] { m_store.noteNoAnswer(); })
     , m_clients(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readiness(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
     , m_maintenance(io)
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -25,7 +25,7 @@
     std::vector<std::string> seeds; // IP:port of some gateways, for a process that never reached the store
     shared_bounds bounds;
     milliseconds stopGrace { 6000 }; // from the signal to the forced end
-    milliseconds memberLife { 6000 }; // time to live of the entry in the member list
+    member_times member;
     milliseconds viewDelay { 700 }; // changes in the store are gathered for this long
     milliseconds memberSettle { 800 }; // at the start, time without a change after which the member list is whole
 };
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -29,6 +29,12 @@
 // may be slow, and for requests under way.
 constexpr int viewDelayPercent = 30;
 
+// A searcher's entry lapses after this many heartbeats without one. An outage must be noticed before, by a renewal that is
+// not answered.
+constexpr int heartbeatsUntilLapse = 3;
+constexpr milliseconds lapseMargin { 600 };
+constexpr milliseconds shortestRenewal { 500 };
+
 // Time to live in the member list, in multiples of the store's shortest.
 constexpr int memberLifeFactor = 15;
 
@@ -45,7 +51,8 @@
     settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack };
     settings.viewDelay = std::min(node.drainBound, node.tableBound) * viewDelayPercent / 100;
     settings.stopGrace = node.stopGrace;
-    settings.memberLife = node.shortestLease * memberLifeFactor;
+    settings.member.life = node.shortestLease * memberLifeFactor;
+    settings.member.renewal = std::max(node.searcherHeartbeat * heartbeatsUntilLapse - storeTimeout - lapseMargin, shortestRenewal);
     return settings;
 }
 
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -6,18 +6,17 @@
 
 constexpr const char* memberKeys = "limpetpier/members/";
 
-// Renewals in one time to live: two may be lost.
-constexpr int renewalsPerLife = 3;
 constexpr milliseconds retryDelay { 700 };
 
 } // namespace
 
-membership::membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, milliseconds timeToLive)
+membership::membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, member_times times, std::function<void()> onNoAnswer)
     : m_store(store)
     , m_timer(executor)
     , m_self(std::move(self))
     , m_peerAddress(std::move(peerAddress))
-    , m_timeToLive(timeToLive)
+    , m_times(times)
+    , m_onNoAnswer(std::move(onNoAnswer))
 {
 }
 
@@ -37,7 +36,7 @@
 void membership::acquire()
 {
     m_lease = {};
-    m_store.grantLease(m_timeToLive, [this](store_result result, lease_id lease) {
+    m_store.grantLease(m_times.life, [this](store_result result, lease_id lease) {
         if (m_leaving)
             return;
         if (result == store_result::ok)
@@ -57,7 +56,7 @@
             return;
         }
         m_lease = lease;
-        later(m_timeToLive / renewalsPerLife, &membership::renew);
+        later(m_times.renewal, &membership::renew);
     });
 }
 
@@ -66,10 +65,13 @@
     m_store.renewLease(m_lease, [this](store_result result) {
         if (m_leaving)
             return;
-        if (result == store_result::no_lease)
+        if (result == store_result::no_lease) {
             acquire();
-        else
-            later(result == store_result::ok ? m_timeToLive / renewalsPerLife : retryDelay, &membership::renew);
+            return;
+        }
+        if (result != store_result::ok)
+            m_onNoAnswer();
+        later(result == store_result::ok ? m_times.renewal : retryDelay, &membership::renew);
     });
 }
 
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 
 #include "limpetpier/transport/endpoints.h"
@@ -8,10 +9,15 @@
 
 namespace limpetpier {
 
+struct member_times {
+    milliseconds life { 6000 }; // time to live of an entry
+    milliseconds renewal { 2000 }; // between renewals, which also show that the store answers
+};
+
 // Keeps this process on the list of live processes in the platform's store, under a lease, and holds that list.
 class membership {
 public:
-    membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, milliseconds timeToLive);
+    membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, member_times times, std::function<void()> onNoAnswer);
 
     void start();
 
@@ -40,7 +46,8 @@
     boost::asio::steady_timer m_timer;
     node_id m_self;
     std::string m_peerAddress;
-    milliseconds m_timeToLive;
+    member_times m_times;
+    std::function<void()> m_onNoAnswer;
     lease_id m_lease;
     bool m_leaving = false;
     std::map<node_id, std::string> m_members;
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -74,19 +74,23 @@
     m_at = std::max(m_at, page.at);
     for (const auto& item : page.items)
         m_handle.changed(item, isAfterOutage());
-    const bool isBacklog = page.items.size() >= backlogItems || isAfterOutage();
+    const bool isBacklog = page.items.size() >= backlogItems;
     if (m_policy.pause.count() > 0 && !page.items.empty() && !isBacklog)
         later(m_policy.pause, &store_follower::watch);
     else
         watch();
 }
 
+void store_follower::noteNoAnswer()
+{
+    if (!std::exchange(m_reachable, false))
+        return;
+    m_handle.reachable(false);
+}
+
 void store_follower::fail()
 {
-    if (m_reachable) {
-        m_reachable = false;
-        m_handle.reachable(false);
-    }
+    noteNoAnswer();
     const auto delay = m_retry;
     m_retry = std::min(longestRetry, m_retry * 2);
     later(delay, m_current ? &store_follower::watch : &store_follower::reload);
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -174,6 +174,23 @@
     CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }, viewDelay));
 }
 
+TEST_CASE("Searchers whose entries lapsed behind a silent store are served on while a watch hangs")
+{
+    view_fixture fixture;
+    fixture.run(viewDelay); // the watch waits
+    fixture.store.setMood(store_mood::silent);
+    fixture.run(milliseconds(1200));
+    fixture.store.remove("servers/a1");
+    fixture.store.remove("servers/a2");
+    fixture.store.setMood(store_mood::well);
+    fixture.store.put("op/evacuate/elsewhere", "{}"); // wakes the watch
+    fixture.run(milliseconds(300));
+    CHECK(fixture.ask("/safe/x", "id1").reply.status == 200);
+    fixture.store.put("servers/a1", fixture.searchers["a1"]->entry("a", "z1"));
+    fixture.run(milliseconds(3500));
+    CHECK(fixture.ask("/safe/x", "id2").reply.status == 200);
+}
+
 namespace {
 
 // A second gateway, before a store that turns it away, with the first one as its seed.
