--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -22,7 +22,11 @@
 
 // Without the store for this long, peers are asked for their view; then again after each interval.
 constexpr milliseconds askPeersAfter { 600 };
-constexpr milliseconds askPeersInterval { 700 };
+constexpr milliseconds askPeersInterval { 800 };
+
+// Enough that one of them reaches the store, if it turns half of the machines away; the stride is prime to most counts.
+constexpr std::size_t peersAskedAtOnce = 3;
+constexpr std::size_t peerStride = 31;
 
 // At the start the member list is taken as whole after this time in any case.
 constexpr milliseconds settleAtMost { 2500 };
@@ -361,9 +365,11 @@
     if (addresses.empty())
         addresses = m_settings.seeds;
     std::erase(addresses, m_settings.peerAddress);
-    // Another one each time, and each process begins at another.
-    if (!addresses.empty())
-        m_peers->ask(addresses[(m_share.rank("peers") + m_peersAsked++) % addresses.size()]);
+    // Others each time, far apart in the list: those of one zone may all be turned away. Each process begins elsewhere.
+    std::vector<std::string> asked;
+    for (std::size_t count = 0; count < peersAskedAtOnce && count < addresses.size(); ++count)
+        asked.push_back(addresses[(m_share.rank("peers") + peerStride * m_peersAsked++) % addresses.size()]);
+    m_peers->ask(asked);
 }
 
 // Processes that start together see each other come; shares taken from a short list would add up to too much.
--- a/programs/gateway/peer_views.cc
+++ b/programs/gateway/peer_views.cc
@@ -19,13 +19,15 @@
 {
 }
 
-void peer_views::ask(const std::string& address)
+void peer_views::ask(const std::vector<std::string>& addresses)
 {
-    if (m_asking)
-        m_asking->close(); // the last one did not answer in time
-    m_asking = std::make_shared<node_link>(m_executor, m_codec, handlers(), address);
-    m_asking->connect();
-    m_asking->send(view_request {});
+    for (const auto& link : std::exchange(m_asking, {}))
+        link->close();
+    for (const auto& address : addresses) {
+        m_asking.push_back(std::make_shared<node_link>(m_executor, m_codec, handlers(), address));
+        m_asking.back()->connect();
+        m_asking.back()->send(view_request {});
+    }
 }
 
 link_handlers peer_views::handlers()
@@ -41,8 +43,7 @@
         }
     };
     result.onClosed = [this](const node_link_handle& link, bool) {
-        if (link == m_asking)
-            m_asking.reset();
+        std::erase(m_asking, link);
     };
     result.onBadFrame = [](const std::string& what) { logEvent(event::bad_frame, event_fields().add("error", what)); };
     return result;
--- a/programs/gateway/peer_views.h
+++ b/programs/gateway/peer_views.h
@@ -15,8 +15,8 @@
     // address: IP:port for other gateways; secret: shared by the deployment's nodes.
     peer_views(const asio::any_io_executor& executor, const std::string& address, const std::string& secret, provider provide, receiver receive);
 
-    // Asks one peer; its view comes to the receiver if it answers.
-    void ask(const std::string& address);
+    // Asks some peers; the views of those that answer come to the receiver. Gives up those asked before.
+    void ask(const std::vector<std::string>& addresses);
 
 private:
     [[nodiscard]] link_handlers handlers();
@@ -26,7 +26,7 @@
     provider m_provide;
     receiver m_receive;
     link_server m_server;
-    node_link_handle m_asking; // the request under way
+    std::vector<node_link_handle> m_asking; // requests under way
 };
 
 } // namespace limpetpier
