--- a/programs/dispatch/main.cc
+++ b/programs/dispatch/main.cc
@@ -108,6 +108,9 @@
         return result;
     }
 
+    // Only gateways give each other views of the store.
+    void handle(const node_link_handle&, const view_request&) { }
+    void handle(const node_link_handle&, const view_reply&) { }
     void handle(const node_link_handle&, const ping_message&) { }
     void handle(const node_link_handle&, const sub_reply&) { }
     void handle(const node_link_handle&, const slow_notice&) { }
--- a/test/fuzz_test.cc
+++ b/test/fuzz_test.cc
@@ -67,9 +67,9 @@
     const std::string table = R"({"version":7,"routes":[{"name":"q","host":"h","prefix":"/q/","type":"safe","timeoutMs":400,"targetLatencyMs":80,"priority":1,"gather":["a","b"],"maxAttempts":2,"topK":50,"minCoverage":0.89},{"name":"s","host":"h","prefix":"/s/","type":"unsafe","timeoutMs":1500,"trafficSplit":[{"service":"a","weight":0.75}],"maxAttempts":1}],"services":[{"name":"a","maxConns":26,"warmupS":3.0,"coldPerS":0.5}],"limits":{"maxHeaderBytes":4096}})";
     const std::string entry = R"({"service":"a","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":2,"state":"ready","coldLeftMs":1200,"seq":4,"born":17})";
     mutator random;
-    const auto rounds = fromEnvironment("LIMPET_FUZZ_ROUNDS", 400) * 25;
+    const std::size_t rounds = std::size_t { 25 } * fromEnvironment("LIMPET_FUZZ_ROUNDS", 400);
     std::size_t read = 0;
-    for (std::uint32_t round = 0; round < rounds; ++round) {
+    for (std::size_t round = 0; round < rounds; ++round) {
         try {
             static_cast<void>(protocol.decodeTable(random.mutate(table)));
             ++read;
