--- a/include/limpetpier/transport/http_channel.h
+++ b/include/limpetpier/transport/http_channel.h
@@ -47,13 +47,9 @@
     // Ends the connection. A running exchange is forgotten: its handler is not called.
     void close();
 
-    // Forgets the running exchange without closing; the channel is busy until its reply is in or it is closed.
-    void abandon();
-
     [[nodiscard]] bool isOpen() const { return m_state == state::open; }
     [[nodiscard]] bool isIdle() const { return m_state == state::open && !m_busy; }
     [[nodiscard]] bool isConnecting() const { return m_state == state::connecting; }
-    [[nodiscard]] bool isClosed() const { return m_state == state::closed; }
 
     // Until when an idle connection may be used, by the peer's own word.
     [[nodiscard]] monotonic_time usableUntil() const { return m_usableUntil; }
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -230,12 +230,6 @@
     finish(std::move(result));
 }
 
-void http_channel::abandon()
-{
-    m_onReply = nullptr;
-    m_owns = nullptr;
-}
-
 void http_channel::close()
 {
     if (m_state == state::closed)
