--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -249,13 +249,13 @@
     data_centre_id zone;
     std::uint32_t slots = 1;
     bool draining = false;
-    std::int64_t coldLeftMs = 0; // from when the reply was sent
+    std::int64_t coldForMs = 0; // from when the reply was sent
     std::uint64_t born = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(id, service, address, zone, slots, draining, coldLeftMs, born);
+        archive(id, service, address, zone, slots, draining, coldForMs, born);
     }
 };
 
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -343,7 +343,7 @@
     m_evacuated = { view.evacuated.begin(), view.evacuated.end() };
     std::vector<searcher_entry> entries;
     for (const auto& searcher : view.searchers)
-        entries.push_back({ searcher.id, searcher.service, searcher.address, searcher.zone, searcher.slots, searcher.draining, milliseconds(searcher.coldLeftMs), searcher.born });
+        entries.push_back({ searcher.id, searcher.service, searcher.address, searcher.zone, searcher.slots, searcher.draining, milliseconds(searcher.coldForMs), searcher.born });
     m_changedSearchers.merge(m_directory.replaceAll(entries, now, false));
     m_membership.clear();
     for (std::size_t index = 0; index < view.members.size(); ++index)
