Views between gateways hold the list only when it is newer; fewer renewals

Cause: on the grown sites calls to the store and bytes between zones are the largest prices. A gateway without the store asked three peers every 0.8 s and got the whole list (some 67 KB) from each, also when it was the same list; and each gateway renewed its lease every 2 s only to notice an outage behind a waiting watch.

Change: a request for a view names the store's revision and the age of the asker's view; the list is left out of the reply when the asker has it or a later one. A view taken from a peer is given on with its age. A lease is renewed every third of its life, and early only when nothing was heard from the store for the silence that the searchers' lapse allows. The settings test no longer leaves a file in the working directory.

--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -235,9 +235,13 @@
 
 // Asks another gateway for its view of the platform's store. Gateway to gateway, while the store turns the sender away.
 struct view_request {
+    std::uint64_t revision = 0; // of the store, as of the sender's view; 0 for none
+    std::int64_t ageMs = 0; // since that view was true
+
     template <typename Archive>
-    void serialize(Archive&)
+    void serialize(Archive& archive)
     {
+        archive(revision, ageMs);
     }
 };
 
@@ -262,6 +266,8 @@
 // What a gateway knows of the store.
 struct view_reply {
     std::int64_t ageMs = 0; // since the store last answered it
+    std::uint64_t revision = 0; // of the store, as of this view
+    bool unchanged = false; // the sender's view is as good, and the rest is empty
     std::string tableText; // the operator's configuration as it lies in the store
     std::vector<data_centre_id> evacuated;
     std::vector<viewed_searcher> searchers;
@@ -271,7 +277,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(ageMs, tableText, evacuated, searchers, members, memberAddresses);
+        archive(ageMs, revision, unchanged, tableText, evacuated, searchers, members, memberAddresses);
     }
 };
 
--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -40,6 +40,9 @@
     [[nodiscard]] bool isReachable() const { return m_reachable; }
     [[nodiscard]] monotonic_time lastAnswer() const { return m_lastAnswer; }
 
+    // Revision of the store that the copy stands for; none while all keys are read.
+    [[nodiscard]] store_revision revision() const { return m_current ? m_at : store_revision {}; }
+
     // Pause after a failed call; doubled each time up to the longest.
     static constexpr milliseconds firstRetry { 100 };
     static constexpr milliseconds longestRetry { 800 };
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -33,11 +33,14 @@
 // not answered.
 constexpr int heartbeatsUntilLapse = 3;
 constexpr milliseconds lapseMargin { 600 };
-constexpr milliseconds shortestRenewal { 500 };
+constexpr milliseconds shortestSilence { 500 };
 
 // Time to live in the member list, in multiples of the store's shortest.
 constexpr int memberLifeFactor = 15;
 
+// Renewals in that time: one that fails is made up for by retries before the next is due.
+constexpr int renewalsInLife = 3;
+
 gateway_settings toGatewaySettings(const platform::node_settings& node)
 {
     gateway_settings settings;
@@ -52,7 +55,8 @@
     settings.viewDelay = std::min(node.drainBound, node.tableBound) * viewDelayPercent / 100;
     settings.stopGrace = node.stopGrace;
     settings.member.life = node.shortestLease * memberLifeFactor;
-    settings.member.renewal = std::max(node.searcherHeartbeat * heartbeatsUntilLapse - storeTimeout - lapseMargin, shortestRenewal);
+    settings.member.renewal = settings.member.life / renewalsInLife;
+    settings.member.silence = std::max(node.searcherHeartbeat * heartbeatsUntilLapse - storeTimeout - lapseMargin, shortestSilence);
     return settings;
 }
 
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -10,13 +10,13 @@
 
 } // namespace
 
-membership::membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, member_times times, std::function<void()> onNoAnswer)
+membership::membership(const asio::any_io_executor& executor, metadata_store& store, store_follower& follower, node_id self, std::string peerAddress, member_times times)
     : m_store(store)
+    , m_follower(follower)
     , m_timer(executor)
     , m_self(std::move(self))
     , m_peerAddress(std::move(peerAddress))
     , m_times(times)
-    , m_onNoAnswer(std::move(onNoAnswer))
 {
 }
 
@@ -56,7 +56,8 @@
             return;
         }
         m_lease = lease;
-        later(m_times.renewal, &membership::renew);
+        m_renewed = monotonic_clock::now();
+        awaitRenewal();
     });
 }
 
@@ -69,12 +70,28 @@
             acquire();
             return;
         }
-        if (result != store_result::ok)
-            m_onNoAnswer();
-        later(result == store_result::ok ? m_times.renewal : retryDelay, &membership::renew);
+        if (result != store_result::ok) {
+            m_follower.noteNoAnswer();
+            later(retryDelay, &membership::renew);
+            return;
+        }
+        m_renewed = monotonic_clock::now();
+        awaitRenewal();
     });
 }
 
+// A watch that waits does not notice an outage: then a renewal comes early.
+void membership::awaitRenewal()
+{
+    const auto now = monotonic_clock::now();
+    const auto heard = std::max(m_renewed, m_follower.lastAnswer());
+    const auto due = std::min(m_renewed + m_times.renewal, heard + m_times.silence);
+    if (due <= now)
+        renew();
+    else
+        later(std::chrono::ceil<milliseconds>(due - now), &membership::awaitRenewal);
+}
+
 void membership::later(milliseconds delay, void (membership::*step)())
 {
     m_timer.expires_after(delay);
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -5,19 +5,20 @@
 #include <map>
 
 #include "limpetpier/transport/endpoints.h"
-#include "limpetpier/transport/metadata_store.h"
+#include "limpetpier/transport/store_follower.h"
 
 namespace limpetpier {
 
 struct member_times {
     milliseconds life { 6000 }; // time to live of an entry
-    milliseconds renewal { 2000 }; // between renewals, which also show that the store answers
+    milliseconds renewal { 2000 }; // between renewals
+    milliseconds silence { 2000 }; // without any answer of the store for this long, a renewal shows whether it answers
 };
 
 // Keeps this process on the list of live processes in the platform's store, under a lease, and holds that list.
 class membership {
 public:
-    membership(const asio::any_io_executor& executor, metadata_store& store, node_id self, std::string peerAddress, member_times times, std::function<void()> onNoAnswer);
+    membership(const asio::any_io_executor& executor, metadata_store& store, store_follower& follower, node_id self, std::string peerAddress, member_times times);
 
     void start();
 
@@ -40,15 +41,17 @@
     void acquire();
     void announce(lease_id lease);
     void renew();
+    void awaitRenewal();
     void later(milliseconds delay, void (membership::*step)());
 
     metadata_store& m_store;
+    store_follower& m_follower;
     boost::asio::steady_timer m_timer;
     node_id m_self;
     std::string m_peerAddress;
     member_times m_times;
-    std::function<void()> m_onNoAnswer;
     lease_id m_lease;
+    monotonic_time m_renewed {}; // last renewal, or the grant
     bool m_leaving = false;
     std::map<node_id, std::string> m_members;
 };
--- a/programs/gateway/peer_views.cc
+++ b/programs/gateway/peer_views.cc
@@ -19,14 +19,14 @@
 {
 }
 
-void peer_views::ask(const std::vector<std::string>& addresses)
+void peer_views::ask(const std::vector<std::string>& addresses, const view_request& request)
 {
     for (const auto& link : std::exchange(m_asking, {}))
         link->close();
     for (const auto& address : addresses) {
         m_asking.push_back(std::make_shared<node_link>(m_executor, m_codec, handlers(), address));
         m_asking.back()->connect();
-        m_asking.back()->send(view_request {});
+        m_asking.back()->send(request);
     }
 }
 
@@ -34,8 +34,8 @@
 {
     link_handlers result;
     result.onMessage = [this](const node_link_handle& link, const node_message& message) {
-        if (std::holds_alternative<view_request>(message)) {
-            if (const auto view = m_provide())
+        if (const auto* request = std::get_if<view_request>(&message)) {
+            if (const auto view = m_provide(*request))
                 link->send(*view);
         } else if (const auto* view = std::get_if<view_reply>(&message)) {
             m_receive(*view);
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -255,3 +255,49 @@
     fixture.run(2 * viewDelay);
     CHECK(fixture.askParted("/safe/x", "id1") == 503);
 }
+
+namespace {
+
+// Asks the fixture's gateway for its view, as another gateway does.
+std::optional<view_reply> askView(view_fixture& fixture, const view_request& request)
+{
+    std::optional<view_reply> result;
+    peer_views asker(
+        fixture.io.get_executor(), fixture.freeAddress(), "secret", [](const view_request&) { return std::optional<view_reply>(); }, [&](const view_reply& view) { result = view; });
+    asker.ask({ fixture.settings.peerAddress }, request);
+    fixture.runUntil([&] { return result.has_value(); });
+    return result;
+}
+
+constexpr std::int64_t longAgoMs = 60'000;
+
+} // namespace
+
+TEST_CASE("A peer that knows less gets the whole view")
+{
+    view_fixture fixture("secret");
+    const auto view = askView(fixture, { 0, longAgoMs });
+    REQUIRE(view.has_value());
+    CHECK_FALSE(view->unchanged);
+    CHECK(view->searchers.size() == 2);
+}
+
+TEST_CASE("A peer whose view is as good gets no list")
+{
+    view_fixture fixture("secret");
+    const auto known = askView(fixture, { 0, longAgoMs });
+    REQUIRE(known.has_value());
+    const auto view = askView(fixture, { known->revision, longAgoMs });
+    REQUIRE(view.has_value());
+    CHECK(view->unchanged);
+    CHECK(view->searchers.empty());
+}
+
+TEST_CASE("A renewal shows an outage that a waiting watch does not notice")
+{
+    view_fixture fixture;
+    fixture.run(viewDelay); // the watch waits
+    fixture.store.setMood(store_mood::silent);
+    const auto calls = fixture.store.calls();
+    CHECK(fixture.runUntil([&] { return fixture.store.calls() > calls; }, fixture.settings.member.silence + milliseconds(200)));
+}
--- a/test/node_settings_test.cc
+++ b/test/node_settings_test.cc
@@ -1,7 +1,10 @@
 #include "node_settings.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <fstream>
+#include <memory>
+#include <unistd.h>
 
 #include "limpetpier/state/errors.h"
 
@@ -36,9 +39,10 @@
 
 platform::node_settings readText(const std::string& text)
 {
-    const std::string path = "node_settings_test.toml";
+    const auto path = std::filesystem::temp_directory_path() / ("node_settings_test." + std::to_string(getpid()) + ".toml");
     std::ofstream(path) << text;
-    return platform::readNodeSettings(path);
+    const std::shared_ptr<void> removed(nullptr, [&](void*) { std::filesystem::remove(path); });
+    return platform::readNodeSettings(path.string());
 }
 
 std::string errorFor(const std::string& text)
--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -58,7 +58,7 @@
         settings.readyAddress = freeAddress();
         settings.peerAddress = freeAddress();
         settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, 5 };
-        settings.member.renewal = milliseconds(200);
+        settings.member.silence = milliseconds(200);
         settings.memberSettle = memberSettle;
         settings.stopGrace = milliseconds(1500);
         process = std::make_unique<gateway>(io, protocol, client, settings);
