A searcher is judged by what became of its sends

A refused, failed or broken send left no mark on its searcher, so the next query went there again and the budget of extra sends was spent.

A hedge's loser that is late counts as failed.

Ruled out: health checks (the searchers pass them).

--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -46,6 +46,7 @@
 // Costs, in multiples of an ordinary reply's time.
 constexpr double connectCost = 1;
 constexpr double stalledCost = 8;
+constexpr double failureCost = 6; // a failed send costs another one, and a part of what is left for extra sends
 constexpr double runningCost = 0.5; // each call of this process that is running there, a slot
 
 } // namespace
@@ -106,7 +107,7 @@
 double searcher_pool::cost(monotonic_time now) const
 {
     const double age = std::chrono::duration<double>(now - m_slownessAt) / std::chrono::duration<double>(slownessMemory);
-    double result = 1 + (m_slowness - 1) * std::exp(-age);
+    double result = 1 + (m_slowness - 1) * std::exp(-age) + failureCost * m_failures.share(now);
     bool idle = false;
     for (const auto& slot : m_slots) {
         idle = idle || slot->channel->isIdle();
@@ -217,6 +218,8 @@
     outcome.elapsed = std::chrono::duration_cast<microseconds>(monotonic_clock::now() - call->writtenAt);
     if (result.stage == exchange_stage::replied)
         outcome.reply = m_protocol.decodeReply(std::move(result.reply));
+    if (wanted)
+        m_failures.record(outcome.stage != exchange_stage::replied || outcome.reply.kind != reply_kind::success, call->writtenAt + outcome.elapsed);
     if (outcome.stage == exchange_stage::replied && outcome.reply.kind == reply_kind::misdirected) {
         doubt("misdirected");
         failQueue();
@@ -233,9 +236,12 @@
     if (std::exchange(call->finished, true))
         return;
     std::erase(m_queue, call);
+    const auto now = monotonic_clock::now();
+    if (call->written && now > call->lateAt)
+        m_failures.record(true, now); // another searcher was faster, though asked later
     for (const auto& slot : m_slots) {
         if (slot->call == call)
-            slot->closeAt = monotonic_clock::now() + linger;
+            slot->closeAt = now + linger;
     }
 }
 
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "limpetpier/coordination/cold_allowance.h"
+#include "limpetpier/coordination/failure_record.h"
 #include "limpetpier/transport/http_channel.h"
 #include "searcher_call.h"
 
@@ -100,6 +101,7 @@
     milliseconds m_retryDelay;
     monotonic_time m_lastUse;
     std::optional<milliseconds> m_idleLimit; // after which the searcher closes an idle connection, by its own word
+    failure_record m_failures;
     double m_slowness = 1;
     monotonic_time m_slownessAt {};
     std::vector<slot_handle> m_slots;
--- a/test/gateway_request_test.cc
+++ b/test/gateway_request_test.cc
@@ -165,3 +165,16 @@
     CHECK(answer.reply.status == 200);
     CHECK(answer.reply.field("Connection") == "close");
 }
+
+TEST_CASE("A searcher that fails while its health check passes is passed over for another")
+{
+    request_fixture fixture;
+    const auto mood = GENERATE(searcher_mood::shedding, searcher_mood::failing, searcher_mood::resetting);
+    fixture.store.put("servers/a2", fixture.searchers["a2"]->entry("a", "z2")); // farther away
+    fixture.run(milliseconds(900));
+    fixture.searchers["a1"]->setMood(mood);
+    const auto before = fixture.searchers["a1"]->arrivals();
+    for (int request = 0; request < 12; ++request)
+        fixture.ask("/safe/x", "id" + std::to_string(request));
+    CHECK(fixture.searchers["a1"]->arrivals() - before <= 3);
+}
