Metrics of store calls, shares and reasons; the command line is checked

Change: metadata_store tells an observer of each ended call; sends that failed are counted by how, extra ones by why; a gateway's part of the bounds of a searcher is a gauge by service, at most 32. The log is not flushed before it was started.

--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -48,6 +48,7 @@
     searcher_gone = 507,
     searcher_ill = 508,
     searcher_crowded = 509,
+    searcher_failing = 510,
     members_changed = 208,
     table_adopted = 310,
     table_unreadable = 311,
--- a/include/limpetpier/transport/metadata_store.h
+++ b/include/limpetpier/transport/metadata_store.h
@@ -30,6 +30,25 @@
     no_answer, // the call may have been done, or may still be
 };
 
+inline const char* toText(store_result result)
+{
+    switch (result) {
+    case store_result::ok:
+        return "ok";
+    case store_result::compacted:
+        return "compacted";
+    case store_result::no_lease:
+        return "no_lease";
+    case store_result::conflict:
+        return "conflict";
+    case store_result::rejected:
+        return "rejected";
+    case store_result::no_answer:
+        return "no_answer";
+    }
+    return "unknown";
+}
+
 struct store_page {
     std::vector<store_item> items;
     bool more = false;
@@ -42,6 +61,9 @@
     template <typename Value>
     using handler = std::function<void(store_result, Value)>;
 
+    // Told of each call that ended: what it was, how it ended, how long it took.
+    using call_observer = std::function<void(const char* call, store_result result, microseconds elapsed)>;
+
     metadata_store() = default;
     virtual ~metadata_store() = default;
     metadata_store(const metadata_store&) = delete;
@@ -59,6 +81,18 @@
 
     // Writes one key under a lease.
     virtual void write(const std::string& key, const std::string& value, lease_id lease, std::function<void(store_result)> done) = 0;
+
+    void observe(call_observer observer) { m_observer = std::move(observer); }
+
+protected:
+    void noteCall(const char* call, store_result result, microseconds elapsed) const
+    {
+        if (m_observer)
+            m_observer(call, result, elapsed);
+    }
+
+private:
+    call_observer m_observer;
 };
 
 } // namespace limpetpier
--- a/include/limpetpier/transport/metrics.h
+++ b/include/limpetpier/transport/metrics.h
@@ -48,6 +48,7 @@
     void observe(const std::string& name, const metric_series& series, double seconds);
     void add(const std::string& name, const metric_series& series, double amount);
     void set(const std::string& name, double value);
+    void set(const std::string& name, const metric_series& series, double value);
 
     [[nodiscard]] std::string render() const;
 
@@ -60,7 +61,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, std::map<std::string, histogram>> m_histograms;
     std::map<std::string, std::map<std::string, double>> m_counters;
-    std::map<std::string, double> m_gauges;
+    std::map<std::string, std::map<std::string, double>> m_gauges;
 };
 
 } // namespace limpetpier
--- a/include/limpetpier/transport/settings.h
+++ b/include/limpetpier/transport/settings.h
@@ -31,8 +31,17 @@
 //     settings.number("workers");
 class program_settings {
 public:
-    // Reads flags, then the environment, then defaults. Throws settings_error; prints and exits 0 for --help.
-    static program_settings read(const std::string& program, const std::string& summary, const std::vector<setting>& table, int argc, char** argv);
+    // What --check does once the flags are known to be good: the program ends, or reads more and ends by itself.
+    enum class check_mode : std::uint8_t {
+        ends,
+        reads_more,
+    };
+
+    // Reads flags, then the environment, then defaults. Throws settings_error; prints and exits 0 for --help and --check.
+    static program_settings read(const std::string& program, const std::string& summary, const std::vector<setting>& table, int argc, char** argv, check_mode mode = check_mode::ends);
+
+    // True if the program is only to say whether its settings are good.
+    [[nodiscard]] bool isCheck() const { return m_isCheck; }
 
     [[nodiscard]] const std::string& text(const std::string& flag) const;
     [[nodiscard]] std::int64_t number(const std::string& flag) const;
@@ -42,6 +51,7 @@
 private:
     std::map<std::string, std::string> m_values;
     std::vector<std::string> m_positional;
+    bool m_isCheck = false;
 };
 
 } // namespace limpetpier
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -48,6 +48,7 @@
     , m_stopTimer(io)
     , m_signals(io, SIGTERM, SIGINT)
 {
+    store.observe([this](const char* call, store_result result, microseconds elapsed) { m_metrics.recordStoreCall(call, result, elapsed); });
 }
 
 void gateway::handleStore(bool reachable)
@@ -149,6 +150,7 @@
     now.tableVersion = m_view.table() ? m_view.table()->version().value() : 0;
     now.viewAgeSeconds = std::chrono::duration<double>(m_view.age()).count();
     now.ready = isReady();
+    now.shares = m_fleet.shares();
     now.extraLeft = m_fleet.extraLeft(monotonic_clock::now());
     reply.contentType = "text/plain; version=0.0.4";
     reply.body = m_metrics.render(now);
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -23,10 +23,19 @@
     m_registry.add("limpet_sends_total", { { "route", route } }, ended.sends);
     m_registry.add("limpet_hedges_total", { { "route", route } }, ended.hedges);
     m_registry.add("limpet_sends_not_run_total", { { "route", route } }, ended.refusals);
+    for (const auto& [how, count] : ended.failedSends)
+        m_registry.add("limpet_sends_failed_total", { { "route", route }, { "how", how } }, count);
+    for (const auto& [why, count] : ended.extraSends)
+        m_registry.add("limpet_extra_sends_total", { { "route", route }, { "why", why } }, count);
     m_registry.add("limpet_parts_total", { { "route", route } }, static_cast<double>(ended.parts));
     m_registry.add("limpet_parts_missing_total", { { "route", route } }, static_cast<double>(ended.missingParts));
 }
 
+void gateway_metrics::recordStoreCall(const char* call, store_result result, microseconds elapsed)
+{
+    m_registry.observe("limpet_store_call_seconds", { { "call", call }, { "result", toText(result) } }, std::chrono::duration<double>(elapsed).count());
+}
+
 void gateway_metrics::recordStoreAnswer(bool reachable)
 {
     m_registry.add("limpet_store_changes_total", { { "to", reachable ? "reachable" : "unreachable" } }, 1);
@@ -48,6 +57,13 @@
     for (const auto& [service, left] : now.extraLeft)
         least = std::min(least, left);
     m_registry.set("limpet_extra_sends_left_least", least);
+    std::size_t listed = 0;
+    for (const auto& [service, share] : now.shares) {
+        if (++listed > mostServices)
+            break;
+        m_registry.set("limpet_share", { { "service", service.value() }, { "bound", "connections" } }, share.connections);
+        m_registry.set("limpet_share", { { "service", service.value() }, { "bound", "cold_requests" } }, share.coldRequestsPerSecond);
+    }
     return m_registry.render();
 }
 
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -3,17 +3,19 @@
 #include <set>
 #include <string>
 
+#include "limpetpier/transport/metadata_store.h"
 #include "limpetpier/transport/metrics.h"
 #include "request_run.h"
 
 namespace limpetpier {
 
-// Counters and latency histograms of a gateway, by route and outcome. Routes beyond the first mostRoutes that had
+// Counters, gauges and latency histograms of a gateway, by route and outcome. Routes beyond the first mostRoutes that had
 // requests share one label, so that the number of series is bounded.
 class gateway_metrics {
 public:
     void record(const run_report& ended);
     void recordStoreAnswer(bool reachable);
+    void recordStoreCall(const char* call, store_result result, microseconds elapsed);
 
     // Gauges as of now.
     struct gauges {
@@ -27,10 +29,12 @@
         double viewAgeSeconds = 0; // since the store's last answer
         bool ready = false;
         std::map<service_id, double> extraLeft; // extra sends left in the window, by service
+        std::map<service_id, pool_limits> shares; // of the bounds of one searcher, by service
     };
     [[nodiscard]] std::string render(const gauges& now);
 
     static constexpr std::size_t mostRoutes = 32;
+    static constexpr std::size_t mostServices = 32; // the first by name; a deployment of many shards gives them equal limits
 
 private:
     std::string labelOf(const std::string& route);
--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -76,7 +76,7 @@
         if (first)
             part.firstSend = now;
         else
-            logResent(part.service, searcher, why, std::chrono::duration_cast<microseconds>(now - part.firstSend));
+            noteResent(part.service, searcher, why, std::chrono::duration_cast<microseconds>(now - part.firstSend));
         part.tried.push_back(searcher);
         part.running.emplace_back(searcher, call);
         part.state = part_state::running;
@@ -93,7 +93,7 @@
         if (isFinished() || part.state == part_state::done)
             return;
         if (result.stage != exchange_stage::replied || result.reply.kind != reply_kind::success)
-            logFailed(part.service, searcher, result);
+            noteFailed(part.service, searcher, result);
         if (result.certainlyNotRun()) {
             --part.possibleRuns;
             ++m_report.refusals;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -125,20 +125,19 @@
         { "log-lines", "400", "Most log lines a second; routine ones get half", setting_kind::number, true, 1, 1'000'000, false },
         { "log-bytes", "100000", "Most log bytes a second; routine lines get half", setting_kind::number, true, 100, 100'000'000, false },
         { "node-secret", "", "Shared secret of the deployment's gateways, for views of the store from each other", setting_kind::text, false, 0, 0, true },
-        { "check", "no", "yes: read the settings, say what is wrong with them, and end", setting_kind::text, true, 0, 0, false },
     };
     return table;
 }
 
 int run(int argc, char** argv)
 {
-    const auto flags = program_settings::read("limpet-gateway", "Answers clients on the platform by asking its searchers.", settingsTable(), argc, argv);
+    const auto flags = program_settings::read("limpet-gateway", "Answers clients on the platform by asking its searchers.", settingsTable(), argc, argv, program_settings::check_mode::reads_more);
     const auto path = flags.text("settings").empty() ? platform::nodeSettingsPath() : flags.text("settings");
     const auto node = platform::readNodeSettings(path);
     auto settings = toGatewaySettings(node);
     for (const auto& address : { settings.clientAddress, settings.readyAddress, settings.peerAddress, node.storeAddress })
         static_cast<void>(parseTcpEndpoint(address));
-    if (flags.text("check") == "yes") {
+    if (flags.isCheck()) {
         std::cout << path << ": good\n";
         return EXIT_SUCCESS;
     }
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -33,6 +33,8 @@
     std::uint32_t sends = 0;
     std::uint32_t hedges = 0;
     std::uint32_t refusals = 0; // sends that a searcher did not run
+    std::map<std::string, std::uint32_t> failedSends; // by how they ended
+    std::map<std::string, std::uint32_t> extraSends; // by why they were sent
     std::size_t missingParts = 0;
     std::size_t parts = 0;
 };
--- a/programs/gateway/run_base.cc
+++ b/programs/gateway/run_base.cc
@@ -20,10 +20,6 @@
 // The latest hedge that can still serve the objective, in parts of it.
 constexpr int latestHedgePart = 2;
 
-} // namespace
-
-namespace {
-
 const char* describe(const call_result& result)
 {
     switch (result.stage) {
@@ -90,16 +86,18 @@
     return finish(m_context.protocol.encodeFailure(statusUnavailable, message, retryAfterRefusal), outcome);
 }
 
-void run_base::logResent(const service_id& service, const searcher_id& searcher, const char* why, microseconds waited) const
+void run_base::noteResent(const service_id& service, const searcher_id& searcher, const char* why, microseconds waited)
 {
+    ++m_report.extraSends[why];
     if (!isLogged(event::request_resent))
         return;
     logEvent(event::request_resent,
         event_fields().add("request", m_report.requestId).add("service", service.value()).add("searcher", searcher.value()).add("why", why).add("waited_us", waited.count()).add("hedge_after_us", m_request.record->hedgeAfter(*m_request.rule).count()).add("extra_left", static_cast<std::int64_t>(m_context.fleet.allowance(service).left(monotonic_clock::now()))));
 }
 
-void run_base::logFailed(const service_id& service, const searcher_id& searcher, const call_result& result) const
+void run_base::noteFailed(const service_id& service, const searcher_id& searcher, const call_result& result)
 {
+    ++m_report.failedSends[describe(result)];
     if (!isLogged(event::call_failed))
         return;
     event_fields fields;
--- a/programs/gateway/run_base.h
+++ b/programs/gateway/run_base.h
@@ -23,9 +23,9 @@
     // Ends the run without an answer: the client has left.
     void finishGone();
 
-    // Log lines of decisions on one send.
-    void logResent(const service_id& service, const searcher_id& searcher, const char* why, microseconds waited) const;
-    void logFailed(const service_id& service, const searcher_id& searcher, const call_result& result) const;
+    // Count and log decisions on one send.
+    void noteResent(const service_id& service, const searcher_id& searcher, const char* why, microseconds waited);
+    void noteFailed(const service_id& service, const searcher_id& searcher, const call_result& result);
 
     [[nodiscard]] bool isFinished() const { return m_finished; }
     [[nodiscard]] milliseconds timeLeft(monotonic_time now) const { return std::chrono::duration_cast<milliseconds>(m_request.answerBy - now); }
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -167,6 +167,14 @@
     return found == m_services.end() ? 0 : found->second.size();
 }
 
+std::map<service_id, pool_limits> searcher_fleet::shares() const
+{
+    std::map<service_id, pool_limits> result;
+    for (const auto& [service, pools] : m_services)
+        result.emplace(service, pools.front()->limits());
+    return result;
+}
+
 std::map<service_id, double> searcher_fleet::extraLeft(monotonic_time now)
 {
     std::map<service_id, double> result;
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -53,6 +53,9 @@
     // Searchers of a service that are listed.
     [[nodiscard]] std::size_t count(const service_id& service) const;
 
+    // This process's part of the bounds of one searcher, by service.
+    [[nodiscard]] std::map<service_id, pool_limits> shares() const;
+
     // Extra sends left in the window, by service.
     [[nodiscard]] std::map<service_id, double> extraLeft(monotonic_time now);
 
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -43,6 +43,10 @@
 constexpr double slownessGain = 0.3; // weight of the newest reply
 constexpr double largestMultiple = 20;
 
+// Shares of failed sends at which a searcher is said to fail, and to be well again.
+constexpr double failingShare = 0.5;
+constexpr double wellShare = 0.25;
+
 // Costs, in multiples of an ordinary reply's time.
 constexpr double connectCost = 1;
 constexpr double stalledCost = 8;
@@ -219,7 +223,7 @@
     if (result.stage == exchange_stage::replied)
         outcome.reply = m_protocol.decodeReply(std::move(result.reply));
     if (wanted)
-        m_failures.record(outcome.stage != exchange_stage::replied || outcome.reply.kind != reply_kind::success, call->writtenAt + outcome.elapsed);
+        judge(outcome.stage != exchange_stage::replied || outcome.reply.kind != reply_kind::success, call->writtenAt + outcome.elapsed);
     if (outcome.stage == exchange_stage::replied && outcome.reply.kind == reply_kind::misdirected) {
         doubt("misdirected");
         failQueue();
@@ -231,6 +235,17 @@
         call->onResult(std::move(outcome));
 }
 
+void searcher_pool::judge(bool failed, monotonic_time now)
+{
+    m_failures.record(failed, now);
+    const double share = m_failures.share(now);
+    const bool failing = share >= (m_saidFailing ? wellShare : failingShare);
+    if (failing == m_saidFailing)
+        return;
+    m_saidFailing = failing;
+    logEvent(event::searcher_failing, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("failing", failing ? "yes" : "no").add("percent", static_cast<int>(100 * share)));
+}
+
 void searcher_pool::cancel(const call_handle& call, milliseconds linger)
 {
     if (std::exchange(call->finished, true))
@@ -238,7 +253,7 @@
     std::erase(m_queue, call);
     const auto now = monotonic_clock::now();
     if (call->written && now > call->lateAt)
-        m_failures.record(true, now); // another searcher was faster, though asked later
+        judge(true, now); // another searcher was faster, though asked later
     for (const auto& slot : m_slots) {
         if (slot->call == call)
             slot->closeAt = now + linger;
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -33,6 +33,7 @@
     void setEvacuated(bool evacuated);
 
     [[nodiscard]] const searcher_entry& entry() const { return m_entry; }
+    [[nodiscard]] const pool_limits& limits() const { return m_limits; }
 
     // True if a request may be sent now.
     [[nodiscard]] bool isUsable(monotonic_time now);
@@ -78,6 +79,7 @@
     void pump();
     void write(const slot_handle& idle, const call_handle& call);
     void handleReply(const slot_handle& used, const call_handle& call, exchange_result result);
+    void judge(bool failed, monotonic_time now);
     void drop(const slot_handle& gone);
     void handleBreak();
     void backOff(monotonic_time now);
@@ -102,6 +104,7 @@
     monotonic_time m_lastUse;
     std::optional<milliseconds> m_idleLimit; // after which the searcher closes an idle connection, by its own word
     failure_record m_failures;
+    bool m_saidFailing = false;
     double m_slowness = 1;
     monotonic_time m_slownessAt {};
     std::vector<slot_handle> m_slots;
--- a/programs/gateway/single_run.cc
+++ b/programs/gateway/single_run.cc
@@ -67,7 +67,7 @@
         call->lateAt = now + 2 * m_request.record->hedgeAfter(*m_request.rule);
         const auto searcher = pool->entry().id;
         if (m_report.sends > 0)
-            logResent(m_service, searcher, why, std::chrono::duration_cast<microseconds>(now - m_lastSend));
+            noteResent(m_service, searcher, why, std::chrono::duration_cast<microseconds>(now - m_lastSend));
         call->onResult = [self = shared_from_this(), call = std::weak_ptr(call), searcher](call_result result) { self->handleResult(call.lock(), searcher, std::move(result)); };
         m_tried.push_back(searcher);
         m_running.emplace_back(searcher, call);
@@ -118,7 +118,7 @@
         if (isFinished())
             return;
         if (result.stage != exchange_stage::replied || result.reply.kind != reply_kind::success)
-            logFailed(m_service, searcher, result);
+            noteFailed(m_service, searcher, result);
         if (result.certainlyNotRun()) {
             --m_possibleRuns;
             ++m_report.refusals;
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -55,6 +55,7 @@
     event_entry { event::searcher_gone, event_level::info, "searcher_gone" },
     event_entry { event::searcher_ill, event_level::warning, "searcher_ill" },
     event_entry { event::searcher_crowded, event_level::info, "searcher_crowded", log_importance::routine },
+    event_entry { event::searcher_failing, event_level::warning, "searcher_failing", log_importance::kept },
     event_entry { event::view_from_peer, event_level::info, "view_from_peer" },
     event_entry { event::request_begun, event_level::info, "request_begun", log_importance::routine },
     event_entry { event::request_ended, event_level::info, "request_ended", log_importance::routine },
@@ -86,6 +87,7 @@
     std::mutex mutex;
     log_budget budget { 0, 0 };
     bounded_writer output { STDOUT_FILENO };
+    bool started = false;
     bool flushEachLine = true;
     std::uint64_t leftOut = 0;
 };
@@ -150,6 +152,7 @@
     namespace expr = boost::log::expressions;
     state().budget = log_budget(limits.linesPerSecond, limits.bytesPerSecond);
     state().flushEachLine = limits.flushEachLine;
+    state().started = true;
     auto core = boost::log::core::get();
     core->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
     core->add_global_attribute("Node", boost::log::attributes::constant<std::string>(node));
@@ -167,6 +170,8 @@
     std::uint64_t leftOut = 0;
     {
         const std::lock_guard lock(state().mutex);
+        if (!state().started)
+            return;
         leftOut = state().budget.takeLeftOut();
         state().leftOut += leftOut;
     }
--- a/src/transport/metrics.cc
+++ b/src/transport/metrics.cc
@@ -46,18 +46,25 @@
 }
 
 void metrics_registry::set(const std::string& name, double value)
+{
+    set(name, metric_series(std::initializer_list<std::pair<std::string_view, std::string_view>> {}), value);
+}
+
+void metrics_registry::set(const std::string& name, const metric_series& series, double value)
 {
     const std::lock_guard lock(m_mutex);
-    m_gauges[name] = value;
+    m_gauges[name][series.text()] = value;
 }
 
 std::string metrics_registry::render() const
 {
     const std::lock_guard lock(m_mutex);
     std::ostringstream out;
-    for (const auto& [name, value] : m_gauges)
-        out << "# TYPE " << name << " gauge\n"
-            << name << " " << value << "\n";
+    for (const auto& [name, lines] : m_gauges) {
+        out << "# TYPE " << name << " gauge\n";
+        for (const auto& [labels, value] : lines)
+            out << name << labelText(labels) << " " << value << "\n";
+    }
     for (const auto& [name, lines] : m_counters) {
         out << "# TYPE " << name << " counter\n";
         for (const auto& [labels, value] : lines)
--- a/src/transport/settings.cc
+++ b/src/transport/settings.cc
@@ -24,10 +24,10 @@
 std::string helpText(const setting& item)
 {
     auto text = item.help + " [" + environmentName(item.flag) + "]";
-    if (item.required)
-        text += " (required)";
-    else if (!item.fallback.empty())
+    if (!item.fallback.empty())
         text += " (default " + item.fallback + ")";
+    else if (item.required)
+        text += " (required)";
     return text;
 }
 
@@ -62,14 +62,14 @@
 
 } // namespace
 
-program_settings program_settings::read(const std::string& program, const std::string& summary, const std::vector<setting>& table, int argc, char** argv)
+program_settings program_settings::read(const std::string& program, const std::string& summary, const std::vector<setting>& table, int argc, char** argv, check_mode mode)
 {
     cxxopts::Options options(program, summary);
     for (const auto& item : table) {
         if (!item.secret)
             options.add_options()(item.flag, helpText(item), cxxopts::value<std::string>(), "VALUE");
     }
-    options.add_options()("help", "Show this help")("positional", "", cxxopts::value<std::vector<std::string>>());
+    options.add_options()("help", "Show this help")("check", "Read the settings, say what is wrong with them, and end")("positional", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({ "positional" });
 
     program_settings settings;
@@ -92,11 +92,16 @@
             check(item, value);
             settings.m_values[item.flag] = value;
         }
+        settings.m_isCheck = parsed.count("check") > 0;
         if (parsed.count("positional"))
             settings.m_positional = parsed["positional"].as<std::vector<std::string>>();
     } catch (const cxxopts::exceptions::exception& error) {
         throw settings_error(std::string(error.what()) + "; see " + program + " --help");
     }
+    if (settings.m_isCheck && mode == check_mode::ends) {
+        std::cout << program << ": settings are good\n";
+        std::exit(EXIT_SUCCESS);
+    }
     return settings;
 }
 
--- /dev/null
+++ b/test/gateway_metrics_test.cc
@@ -0,0 +1,75 @@
+#include <catch2/catch.hpp>
+
+#include "standins/gateway_fixture.h"
+
+using namespace limpetpier;
+using standins::searcher_mood;
+
+namespace {
+
+// Service "a" with two searchers, of which the nearer one sheds.
+class metrics_fixture : public standins::gateway_fixture {
+public:
+    metrics_fixture()
+    {
+        settings.metricsAddress = freeAddress();
+        addSearcher("a", "a1", "z");
+        addSearcher("a", "a2", "z");
+        store.put("servers/a2", searchers["a2"]->entry("a", "z2"));
+        configure(1);
+        startReady();
+        searchers["a1"]->setMood(searcher_mood::shedding);
+    }
+
+    std::string scrape() { return exchange(settings.metricsAddress, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n").reply.body; }
+
+    // True if the metrics hold the series, whatever its value.
+    bool shows(const std::string& series) { return scrape().find("\n" + series + " ") != std::string::npos; }
+};
+
+} // namespace
+
+TEST_CASE("Requests are counted by route and outcome")
+{
+    metrics_fixture fixture;
+    fixture.ask("/safe/x", "id1");
+    CHECK(fixture.shows(R"(limpet_request_seconds_count{route="safe",outcome="answered"})"));
+}
+
+TEST_CASE("Failed sends are counted by how they ended, extra ones by why they were sent")
+{
+    metrics_fixture fixture;
+    fixture.ask("/safe/x", "id1");
+    CHECK(fixture.shows(R"(limpet_sends_failed_total{route="safe",how="not_executed"})"));
+    CHECK(fixture.scrape().find("limpet_extra_sends_total{route=\"safe\",why=") != std::string::npos);
+}
+
+TEST_CASE("Store calls are timed by call and result")
+{
+    metrics_fixture fixture;
+    CHECK(fixture.shows(R"(limpet_store_call_seconds_count{call="read",result="ok"})"));
+    CHECK(fixture.shows(R"(limpet_store_call_seconds_count{call="grant",result="ok"})"));
+    fixture.store.setMood(standins::store_mood::rejecting);
+    CHECK(fixture.runUntil([&] { return fixture.scrape().find("result=\"rejected\"") != std::string::npos; }));
+}
+
+TEST_CASE("This process's part of each bound is shown by service")
+{
+    metrics_fixture fixture;
+    CHECK(fixture.shows(R"(limpet_share{service="a",bound="connections"})"));
+    CHECK(fixture.shows(R"(limpet_share{service="a",bound="cold_requests"})"));
+}
+
+TEST_CASE("Routes beyond the most that are shown share one label")
+{
+    gateway_metrics metrics;
+    for (std::size_t route = 0; route < gateway_metrics::mostRoutes + 2; ++route) {
+        run_report ended;
+        ended.route = "r" + std::to_string(route);
+        ended.outcome = "answered";
+        metrics.record(ended);
+    }
+    const auto text = metrics.render({});
+    CHECK(text.find(R"(route="other")") != std::string::npos);
+    CHECK(text.find("route=\"r" + std::to_string(gateway_metrics::mostRoutes) + "\"") == std::string::npos);
+}
