--- a/test/standins/platform_searcher.cc
+++ b/test/standins/platform_searcher.cc
@@ -1,5 +1,6 @@
 #include "platform_searcher.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include "limpetpier/transport/http_format.h"
@@ -10,11 +11,20 @@
 
 constexpr std::size_t recordBytes = 16;
 
+// A searcher that starts anew gives other signatures than before.
+std::size_t nextRun()
+{
+    static std::size_t last = 0;
+    return ++last;
+}
+
 } // namespace
 
 platform_searcher::platform_searcher(boost::asio::io_context& io, std::string id, std::string records, unsigned short port)
-    : m_server(io, port, [this](const http_request& request, const raw_exchange_handle& exchange) { handle(request, exchange); })
+    : m_io(io)
+    , m_server(io, port, [this](const http_request& request, const raw_exchange_handle& exchange) { handle(request, exchange); })
     , m_id(std::move(id))
+    , m_run(nextRun())
 {
     for (const char letter : records)
         m_records.append(recordBytes, letter);
@@ -22,7 +32,7 @@
 
 std::string platform_searcher::entry(const std::string& service, const std::string& zone, const std::string& state, int coldLeftMs) const
 {
-    return boost::json::serialize(boost::json::object { { "service", service }, { "address", address() }, { "zone", zone }, { "version", "v1" }, { "slots", 2 }, { "state", state }, { "coldLeftMs", coldLeftMs }, { "seq", 1 } });
+    return boost::json::serialize(boost::json::object { { "service", service }, { "address", m_advertised.empty() ? address() : m_advertised }, { "zone", zone }, { "version", "v1" }, { "slots", 2 }, { "state", state }, { "coldLeftMs", coldLeftMs }, { "seq", 1 } });
 }
 
 std::size_t platform_searcher::waiting() const
@@ -47,17 +57,46 @@
 
 void platform_searcher::answer(const http_request& request, const raw_exchange_handle& exchange)
 {
-    const auto requestId = request.field("Request-Id");
-    const auto good = [&] { return format(200, requestId, m_records, true); };
+    const bool runs = m_mood != searcher_mood::shedding && m_mood != searcher_mood::misdirected && request.field("Target-Instance") == m_id;
+    if (m_onArrival)
+        m_onArrival(request, runs);
     if (m_mood == searcher_mood::shedding) {
         exchange->send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", false);
         return;
     }
-    if (m_mood == searcher_mood::misdirected || request.field("Target-Instance") != m_id) {
+    if (!runs) {
         exchange->send("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n", false);
         return;
     }
-    m_runs.push_back(requestId);
+    m_runs.push_back(request.field("Request-Id"));
+    if (!m_workTime) {
+        reply(request, exchange);
+        return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_workTime());
+    timer->async_wait([this, timer, request, exchange](const boost::system::error_code&) {
+        if (exchange->isOpen())
+            reply(request, exchange);
+    });
+}
+
+std::string platform_searcher::records(const std::string& requestId) const
+{
+    if (!m_workTime)
+        return m_records;
+    std::string result;
+    for (std::size_t at = 0; at < m_records.size(); at += recordBytes) {
+        auto record = m_records[at] + requestId;
+        record.resize(recordBytes, '.');
+        result += record;
+    }
+    return result;
+}
+
+void platform_searcher::reply(const http_request& request, const raw_exchange_handle& exchange)
+{
+    const auto requestId = request.field("Request-Id");
+    const auto good = [&] { return format(200, requestId, records(requestId), true); };
     switch (m_mood) {
     case searcher_mood::failing:
         exchange->send(format(500, requestId, "broken", true), false);
@@ -84,14 +123,14 @@
         break;
     case searcher_mood::unframed:
     case searcher_mood::unframed_reset: {
-        const auto head = "HTTP/1.1 200 OK\r\nResponse-Stamp: u-" + m_id + "\r\nRequest-Id: " + requestId + "\r\n\r\n";
-        exchange->send(head + m_records, m_mood == searcher_mood::unframed);
+        const auto head = "HTTP/1.1 200 OK\r\nResponse-Stamp: " + sign(requestId) + "\r\nRequest-Id: " + requestId + "\r\n\r\n";
+        exchange->send(head + records(requestId), m_mood == searcher_mood::unframed);
         if (m_mood == searcher_mood::unframed_reset)
             exchange->reset();
         break;
     }
     case searcher_mood::leaving:
-        exchange->send(format(200, requestId, m_records, true, true), true);
+        exchange->send(format(200, requestId, records(requestId), true, true), true);
         break;
     case searcher_mood::crossing:
         exchange->send(format(200, "another", "foreign", true), true);
@@ -101,6 +140,14 @@
     }
 }
 
+std::string platform_searcher::sign(const std::string& requestId) const
+{
+    auto signature = m_id + "." + std::to_string(m_run) + "." + std::to_string(++m_signatures);
+    if (m_onSigned)
+        m_onSigned(signature, requestId);
+    return signature;
+}
+
 std::string platform_searcher::format(unsigned status, const std::string& requestId, const std::string& body, bool signature, bool close) const
 {
     http_reply reply;
@@ -108,7 +155,7 @@
     reply.close = close;
     reply.contentType = "application/octet-stream";
     if (signature)
-        reply.fields.push_back({ "Response-Stamp", m_id + "." + std::to_string(++m_signatures) });
+        reply.fields.push_back({ "Response-Stamp", sign(requestId) });
     reply.fields.push_back({ "Request-Id", requestId });
     reply.body = body;
     return formatReply(reply, false);
--- a/test/standins/platform_searcher.h
+++ b/test/standins/platform_searcher.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "limpetpier/state/clock.h"
 #include "raw_server.h"
 
 namespace limpetpier::standins {
@@ -33,6 +34,19 @@
 
     void setMood(searcher_mood mood) { m_mood = mood; }
 
+    // Told of each request, and whether it is run.
+    using arrival_handler = std::function<void(const http_request&, bool ran)>;
+    void onArrival(arrival_handler handle) { m_onArrival = std::move(handle); }
+
+    // Makes each record hold the request's id, and answers after a while; the time is asked for each request.
+    void answerById(std::function<milliseconds()> workTime) { m_workTime = std::move(workTime); }
+
+    // Its entry in the store shows this address instead of its own.
+    void advertise(std::string address) { m_advertised = std::move(address); }
+
+    // Told of each signature that it gives, and to which request.
+    void onSigned(std::function<void(const std::string& signature, const std::string& requestId)> handle) { m_onSigned = std::move(handle); }
+
     // Its entry in the store.
     [[nodiscard]] std::string entry(const std::string& service, const std::string& zone, const std::string& state = "ready", int coldLeftMs = 0) const;
 
@@ -54,16 +68,25 @@
 private:
     void handle(const http_request& request, const raw_exchange_handle& exchange);
     void answer(const http_request& request, const raw_exchange_handle& exchange);
+    void reply(const http_request& request, const raw_exchange_handle& exchange);
+    [[nodiscard]] std::string records(const std::string& requestId) const;
+    [[nodiscard]] std::string sign(const std::string& requestId) const;
     [[nodiscard]] std::string format(unsigned status, const std::string& requestId, const std::string& body, bool signature, bool close = false) const;
 
+    boost::asio::io_context& m_io;
     raw_server m_server;
     std::string m_id;
+    std::size_t m_run; // of this process, over all searchers
+    std::string m_advertised;
+    arrival_handler m_onArrival;
+    std::function<milliseconds()> m_workTime; // null: fixed records, at once
     std::string m_records;
     searcher_mood m_mood = searcher_mood::well;
     int m_coldLeftMs = 0;
     bool m_healthy = true;
     std::size_t m_arrivals = 0;
     std::size_t m_healthChecks = 0;
+    std::function<void(const std::string&, const std::string&)> m_onSigned;
     mutable std::size_t m_signatures = 0;
     std::vector<std::string> m_runs;
     http_request m_lastRequest;
--- a/test/standins/platform_standin.cc
+++ b/test/standins/platform_standin.cc
@@ -4,6 +4,7 @@
 
 #include "limpetpier/transport/program.h"
 #include "limpetpier/transport/settings.h"
+#include "node_file.h"
 #include "platform_searcher.h"
 #include "platform_store.h"
 
@@ -43,14 +44,6 @@
         + services + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":5000,"idleTimeoutMs":20000}})";
 }
 
-std::string gatewaySettings(int basePort)
-{
-    const auto address = [&](int offset) { return "\"127.0.0.1:" + std::to_string(basePort + offset) + "\"\n"; };
-    return "nodeName = \"front-1\"\nip = \"127.0.0.1\"\nzone = \"zone-1\"\ninternalPorts = [" + std::to_string(basePort + 3) + "," + std::to_string(basePort + 3)
-        + "]\nheartbeatMs = 1200\n[listenAddrs]\nfront = " + address(1) + "readyAddr = " + address(2)
-        + "[bounds]\ndrainMs = 3000\nconfigApplyMs = 3000\ngraceS = 6\nretryBudget = 0.2\nbudgetWindowS = 10\nbudgetSlack = 58\ncoldOvershoot = 1.5\ncoldSlack = 5\n[platform]\naddress = " + address(0) + "ttlMinMs = 1000\n";
-}
-
 int run(int argc, char** argv)
 {
     const auto settings = program_settings::read("platform-standin", "Stands in for the platform, for trials by hand.", settingsTable(), argc, argv);
@@ -69,7 +62,7 @@
         }
     }
     store.put("op/config", configuration(shards));
-    std::ofstream(settings.text("settings-file")) << gatewaySettings(basePort);
+    std::ofstream(settings.text("settings-file")) << nodeFile({ "front-1", "127.0.0.1", basePort + 1, store.address() });
     std::cout << "store " << store.address() << ", " << searchers.size() << " searchers" << std::endl;
     io.run();
     return EXIT_SUCCESS;
--- a/test/standins/relay.cc
+++ b/test/standins/relay.cc
@@ -15,60 +15,17 @@
 
 #include "limpetpier/transport/http.h"
 #include "limpetpier/transport/settings.h"
+#include "tcp_relay.h"
 
 using namespace limpetpier;
-using tcp = asio::ip::tcp;
 using udp = asio::ip::udp;
 using boost::system::error_code;
 
 namespace {
 
-struct relay_state {
-    std::uint64_t generation = 0; // connections of earlier generations are silent
-    bool passesForward = true;
-    bool passesBack = true;
-};
-
 constexpr std::size_t bufferBytes = 16U << 10;
 
-// Copies one direction of a connection; a silenced direction reads on and drops.
-awaitable<void> copy(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, const relay_state& state, std::uint64_t generation, bool forward)
-{
-    std::vector<char> buffer(bufferBytes);
-    error_code error;
-    for (;;) {
-        const auto count = co_await from->async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
-        const bool passes = generation == state.generation && (forward ? state.passesForward : state.passesBack);
-        if (error && !passes)
-            co_return; // the other end hears nothing of the close
-        if (error)
-            break;
-        if (passes)
-            co_await asio::async_write(*to, asio::buffer(buffer.data(), count), asio::redirect_error(asio::use_awaitable, error));
-    }
-    to->close(error);
-    from->close(error);
-}
-
-awaitable<void> relayTcp(tcp::endpoint listen, tcp::endpoint target, const relay_state& state)
-{
-    const auto executor = co_await asio::this_coro::executor;
-    tcp::acceptor acceptor(executor, listen);
-    for (;;) {
-        auto client = std::make_shared<tcp::socket>(co_await acceptor.async_accept(asio::use_awaitable));
-        auto server = std::make_shared<tcp::socket>(executor);
-        error_code error;
-        co_await server->async_connect(target, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            continue;
-        client->set_option(tcp::no_delay(true), error);
-        server->set_option(tcp::no_delay(true), error);
-        asio::co_spawn(executor, copy(client, server, state, state.generation, true), asio::detached);
-        asio::co_spawn(executor, copy(server, client, state, state.generation, false), asio::detached);
-    }
-}
-
-awaitable<void> relayBack(std::shared_ptr<udp::socket> upstream, udp::socket& listening, udp::endpoint client, const relay_state& state)
+awaitable<void> relayBack(std::shared_ptr<udp::socket> upstream, udp::socket& listening, udp::endpoint client, const standins::relay_faults& state)
 {
     std::vector<char> buffer(bufferBytes);
     for (;;) {
@@ -79,7 +36,7 @@
     }
 }
 
-awaitable<void> relayUdp(udp::endpoint listen, udp::endpoint target, const relay_state& state)
+awaitable<void> relayUdp(udp::endpoint listen, udp::endpoint target, const standins::relay_faults& state)
 {
     const auto executor = co_await asio::this_coro::executor;
     udp::socket socket(executor, listen);
@@ -101,7 +58,7 @@
     }
 }
 
-void switchFault(relay_state& state, const std::string& target)
+void switchFault(standins::relay_faults& state, const std::string& target)
 {
     if (target.ends_with("silence"))
         ++state.generation;
@@ -124,11 +81,12 @@
         const auto listenPort = static_cast<unsigned short>(settings.number("listen-port"));
         const auto targetPort = static_cast<unsigned short>(settings.number("target-port"));
         asio::io_context io(1);
-        relay_state state;
+        standins::relay_faults state;
+        std::vector<std::unique_ptr<standins::tcp_relay>> relays;
         for (std::int64_t offset = 0; offset < settings.number("count"); ++offset) {
             const auto from = static_cast<unsigned short>(listenPort + offset);
             const auto to = static_cast<unsigned short>(targetPort + offset);
-            asio::co_spawn(io, relayTcp({ loopback, from }, { loopback, to }, state), asio::detached);
+            relays.push_back(std::make_unique<standins::tcp_relay>(io.get_executor(), from, asio::ip::tcp::endpoint(loopback, to), state));
             asio::co_spawn(io, relayUdp({ loopback, from }, { loopback, to }, state), asio::detached);
         }
         http_server control(io.get_executor(), { loopback, static_cast<unsigned short>(listenPort - 1) }, {}, [&](http_request request) -> awaitable<http_reply> {
