Extra sends are spent where they arrive; a fresh connection's end is looked into

Gateways hedged half of the parts of their first queries: all parts' waiting was counted from the first write, which on 0.12 cores is 18 ms before the last one, and before any sample the threshold was a quarter of the objective. A hedge that never left its queue was paid for, too.

Change: a part waits from its own write; without samples the threshold is half of the objective; a send that was never written is given back and the next one is not an extra one; a full searcher hands back what waits for it; only a connection that closes within 150 ms is taken for one too many.

--- a/include/limpetpier/coordination/retry_allowance.h
+++ b/include/limpetpier/coordination/retry_allowance.h
@@ -23,6 +23,9 @@
     // Takes one extra send; false if the window has none left.
     [[nodiscard]] bool spend(monotonic_time now);
 
+    // Gives back the newest extra send, which never reached a searcher.
+    void takeBack();
+
     // Extra sends left at this moment.
     [[nodiscard]] double left(monotonic_time now);
 
--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -21,7 +21,7 @@
         , m_policy(m_request.rule->shards.size(), m_request.rule->leastCoverage, m_request.arrived, m_request.rule->objective)
     {
         for (const auto& service : m_request.rule->shards)
-            m_parts.push_back({ service, part_state::waiting, {}, {}, 0, {}, {} });
+            m_parts.push_back({ service, part_state::waiting, {}, {}, 0, 0, {}, {} });
         m_report.parts = m_parts.size();
     }
 
@@ -32,8 +32,8 @@
                 self->handleGone();
         });
         m_self = shared_from_this();
-        const auto now = monotonic_clock::now();
         for (std::size_t index = 0; index < m_parts.size() && !isFinished(); ++index) {
+            const auto now = monotonic_clock::now(); // on a slow machine the last part goes out much later than the first
             m_context.fleet.allowance(m_parts[index].service).recordRequest(now);
             sendPart(index, now, "first");
         }
@@ -54,6 +54,7 @@
         std::vector<searcher_id> tried;
         std::vector<std::pair<searcher_id, call_handle>> running;
         std::uint32_t possibleRuns;
+        std::uint32_t arrivals; // sends that reached a searcher, or still may
         monotonic_time firstSend;
         searcher_reply reply;
     };
@@ -64,12 +65,13 @@
         auto* pool = m_context.fleet.choose(part.service, part.tried, now);
         if (pool == nullptr)
             return false;
-        const bool first = part.tried.empty();
+        const bool first = part.arrivals == 0;
         if (!first && !m_context.fleet.allowance(part.service).spend(now))
             return false;
         const auto searcher = pool->entry().id;
         auto call = std::make_shared<searcher_call>();
         call->request = m_request.client;
+        call->paid = !first;
         call->answerBy = m_request.answerBy;
         call->lateAt = now + 2 * m_request.record->hedgeAfter(*m_request.rule);
         call->onResult = [self = shared_from_this(), index, call = std::weak_ptr(call), searcher](call_result result) { self->handleResult(index, call.lock(), searcher, std::move(result)); };
@@ -81,6 +83,7 @@
         part.running.emplace_back(searcher, call);
         part.state = part_state::running;
         ++part.possibleRuns;
+        ++part.arrivals;
         ++m_report.sends;
         pool->send(call);
         return true;
@@ -89,6 +92,10 @@
     void handleResult(std::size_t index, const call_handle& call, const searcher_id& searcher, call_result result)
     {
         auto& part = m_parts[index];
+        if (result.stage == exchange_stage::not_written) {
+            --part.arrivals;
+            takeBack(part.service, *call);
+        }
         std::erase_if(part.running, [&](const auto& item) { return item.second == call; });
         if (isFinished() || part.state == part_state::done)
             return;
@@ -278,6 +285,8 @@
             if (auto* pool = m_context.fleet.find(searcher))
                 pool->cancel(call, linger);
             call->finished = true;
+            if (!call->written)
+                takeBack(part.service, *call);
         }
     }
 
--- a/programs/gateway/run_base.cc
+++ b/programs/gateway/run_base.cc
@@ -14,7 +14,7 @@
 constexpr double ordinaryQuantile = 0.5;
 
 // Before there are samples, in parts of the route's latency objective.
-constexpr int firstHedgePart = 4;
+constexpr int firstHedgePart = 2;
 constexpr int firstOrdinaryPart = 8;
 
 // The latest hedge that can still serve the objective, in parts of it.
--- a/programs/gateway/run_base.h
+++ b/programs/gateway/run_base.h
@@ -27,6 +27,13 @@
     void noteResent(const service_id& service, const searcher_id& searcher, const char* why, microseconds waited);
     void noteFailed(const service_id& service, const searcher_id& searcher, const call_result& result);
 
+    // A send that never reached a searcher is no extra one.
+    void takeBack(const service_id& service, const searcher_call& call)
+    {
+        if (call.paid)
+            m_context.fleet.allowance(service).takeBack();
+    }
+
     [[nodiscard]] bool isFinished() const { return m_finished; }
     [[nodiscard]] milliseconds timeLeft(monotonic_time now) const { return std::chrono::duration_cast<milliseconds>(m_request.answerBy - now); }
 
--- a/programs/gateway/searcher_call.h
+++ b/programs/gateway/searcher_call.h
@@ -31,6 +31,7 @@
     std::function<void(call_result)> onResult; // called at most once
     monotonic_time writtenAt {};
     bool written = false;
+    bool paid = false; // counts as an extra send, if it arrives
     bool finished = false;
 };
 
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -25,8 +25,9 @@
 // they closed for lack of use is not opened again for nothing.
 constexpr milliseconds readyFor { 6000 };
 
-// A connection closed this soon after it was opened, unused, was one too many.
-constexpr milliseconds crowdedWithin { 1000 };
+// A connection closed this soon after it was opened, unused, was one too many: a searcher resets it within a round trip, the
+// rest is for a slow machine. Later, the searcher may have started anew.
+constexpr milliseconds crowdedWithin { 150 };
 
 // Idle limit of a searcher that has not stated one yet.
 constexpr milliseconds assumedIdleLimit { 5000 };
@@ -383,6 +384,8 @@
         backOff(now); // closed as soon as it was open: the searcher has no room for another
         if (isLogged(event::searcher_crowded))
             logEvent(event::searcher_crowded, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("limit", m_limits.connections).add("retry_ms", m_retryDelay));
+        if (m_slots.empty())
+            failQueue(); // nothing would send them before the next try
         return;
     }
     const bool isIdleLimit = now - gone->idleSince >= m_idleLimit.value_or(assumedIdleLimit) - idleTolerance;
--- a/programs/gateway/single_run.cc
+++ b/programs/gateway/single_run.cc
@@ -57,12 +57,14 @@
         auto* pool = m_context.fleet.choose(m_service, m_tried, now);
         if (pool == nullptr)
             return false;
-        if (m_report.sends > 0 && !m_context.fleet.allowance(m_service).spend(now)) {
+        const bool first = m_arrivals == 0;
+        if (!first && !m_context.fleet.allowance(m_service).spend(now)) {
             m_tried.push_back(pool->entry().id); // nothing left to pay a second send with
             return false;
         }
         auto call = std::make_shared<searcher_call>();
         call->request = m_request.client;
+        call->paid = !first;
         call->answerBy = m_request.answerBy;
         call->lateAt = now + 2 * m_request.record->hedgeAfter(*m_request.rule);
         const auto searcher = pool->entry().id;
@@ -73,6 +75,7 @@
         m_running.emplace_back(searcher, call);
         ++m_report.sends;
         ++m_possibleRuns;
+        ++m_arrivals;
         m_lastSend = now;
         pool->send(call);
         return true;
@@ -114,6 +117,10 @@
 
     void handleResult(const call_handle& call, const searcher_id& searcher, call_result result)
     {
+        if (result.stage == exchange_stage::not_written) {
+            --m_arrivals;
+            takeBack(m_service, *call);
+        }
         std::erase_if(m_running, [&](const auto& item) { return item.second == call; });
         if (isFinished())
             return;
@@ -188,6 +195,8 @@
             if (auto* pool = m_context.fleet.find(searcher))
                 pool->cancel(call, linger);
             call->finished = true;
+            if (!call->written)
+                takeBack(m_service, *call);
         }
         m_self.reset();
     }
@@ -196,6 +205,7 @@
     std::vector<searcher_id> m_tried;
     std::vector<std::pair<searcher_id, call_handle>> m_running;
     std::uint32_t m_possibleRuns = 0;
+    std::uint32_t m_arrivals = 0; // sends that reached a searcher, or still may
     bool m_hedgeRefused = false;
     monotonic_time m_lastSend {};
     std::optional<searcher_reply> m_failure;
--- a/src/coordination/retry_allowance.cc
+++ b/src/coordination/retry_allowance.cc
@@ -1,5 +1,7 @@
 #include "limpetpier/coordination/retry_allowance.h"
 
+#include <algorithm>
+
 namespace limpetpier {
 
 retry_allowance::retry_allowance(double share, double slack, milliseconds window)
@@ -37,6 +39,15 @@
     return m_share * shareMargin * static_cast<double>(m_requests - oldest) + m_slack - static_cast<double>(m_extra);
 }
 
+void retry_allowance::takeBack()
+{
+    const auto newest = std::find_if(m_slices.rbegin(), m_slices.rend(), [](const slice& item) { return item.extra > 0; });
+    if (newest == m_slices.rend())
+        return; // it has left the window
+    --newest->extra;
+    --m_extra;
+}
+
 bool retry_allowance::spend(monotonic_time now)
 {
     if (left(now) < 1)
--- a/test/retry_allowance_test.cc
+++ b/test/retry_allowance_test.cc
@@ -14,6 +14,15 @@
 
 } // namespace
 
+TEST_CASE("An extra send that reached no searcher is given back")
+{
+    retry_allowance allowance(0.2, 1, window);
+    REQUIRE(allowance.spend(start));
+    REQUIRE_FALSE(allowance.spend(start));
+    allowance.takeBack();
+    CHECK(allowance.spend(start + milliseconds(1)));
+}
+
 TEST_CASE("Extra sends in any window stay within what its requests earned and the slack")
 {
     retry_allowance allowance(0.2, 4, window);
