A watch that the store lost in an outage is sent anew

Change: a renewal that is answered while the store counts as away makes the follower give up its watch for one that is answered at once. Calls are numbered, answers to given-up ones are passed over.

Ruled out: a late view by the pause between watches (0.9 s).

Figures: the test fails before the change and passes after it.

--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -36,6 +36,9 @@
     // taken as such.
     void noteNoAnswer();
 
+    // Another call was answered. A watch that was sent during an outage may never be: it is given up for a new one.
+    void noteAnswer();
+
     [[nodiscard]] bool hasRead() const { return m_hasRead; }
     [[nodiscard]] bool isReachable() const { return m_reachable; }
     [[nodiscard]] monotonic_time lastAnswer() const { return m_lastAnswer; }
@@ -56,7 +59,8 @@
 private:
     void load(const std::string& after);
     void handlePage(store_result result, store_page page);
-    void watch();
+    void watch() { watchFor(m_policy.wait); }
+    void watchFor(milliseconds wait);
     void handleChanges(store_result result, const store_page& page);
     void fail();
     void succeed();
@@ -77,6 +81,7 @@
     milliseconds m_retry = firstRetry;
     monotonic_time m_lastAnswer {};
     monotonic_time m_outageEnd {};
+    std::uint64_t m_call = 0; // the one under way; answers to earlier ones are passed over
 };
 
 } // namespace limpetpier
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -75,6 +75,7 @@
             later(retryDelay, &membership::renew);
             return;
         }
+        m_follower.noteAnswer();
         m_renewed = monotonic_clock::now();
         awaitRenewal();
     });
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -28,7 +28,10 @@
 
 void store_follower::load(const std::string& after)
 {
-    m_store.readRange(m_prefix, after, [this](store_result result, store_page page) { handlePage(result, std::move(page)); });
+    m_store.readRange(m_prefix, after, [this, call = ++m_call](store_result result, store_page page) {
+        if (call == m_call)
+            handlePage(result, std::move(page));
+    });
 }
 
 void store_follower::handlePage(store_result result, store_page page)
@@ -54,9 +57,12 @@
     watch();
 }
 
-void store_follower::watch()
+void store_follower::watchFor(milliseconds wait)
 {
-    m_store.watch(m_prefix, m_at, m_policy.wait, [this](store_result result, const store_page& page) { handleChanges(result, page); });
+    m_store.watch(m_prefix, m_at, wait, [this, call = ++m_call](store_result result, const store_page& page) {
+        if (call == m_call)
+            handleChanges(result, page);
+    });
 }
 
 void store_follower::handleChanges(store_result result, const store_page& page)
@@ -88,6 +94,17 @@
     m_handle.reachable(false);
 }
 
+void store_follower::noteAnswer()
+{
+    if (m_reachable)
+        return;
+    m_timer.cancel();
+    if (m_current)
+        watchFor(milliseconds(0));
+    else
+        reload();
+}
+
 void store_follower::fail()
 {
     noteNoAnswer();
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -293,6 +293,19 @@
     CHECK(view->searchers.empty());
 }
 
+TEST_CASE("A watch that the store lost in an outage is sent anew once the store answers")
+{
+    view_fixture fixture;
+    fixture.run(viewDelay);
+    fixture.configure(6); // the watch is answered; the next one comes after the delay
+    fixture.run(milliseconds(200));
+    fixture.store.setMood(store_mood::silent);
+    fixture.run(milliseconds(2000));
+    fixture.store.setMood(store_mood::well);
+    fixture.configure(7, newRoute);
+    CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }));
+}
+
 TEST_CASE("A renewal shows an outage that a waiting watch does not notice")
 {
     view_fixture fixture;
