--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -312,6 +312,7 @@
         handleBreak();
         return;
     }
+    opened->used = true;
     const auto report = m_protocol.decodeHealth(result.reply);
     // One that says it is ill is asked again; it may be leaving, or wrong about itself.
     const bool ill = !report.healthy && ++m_illAnswers < mostIllAnswers;
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -65,7 +65,7 @@
         std::shared_ptr<http_channel> channel;
         call_handle call;
         bool verifying = false;
-        bool used = false; // has carried a request
+        bool used = false; // has carried a request or a health check
         monotonic_time idleSince {};
         std::optional<monotonic_time> closeAt; // the call was cancelled
     };
--- a/test/searcher_pool_test.cc
+++ b/test/searcher_pool_test.cc
@@ -95,3 +95,17 @@
     fixture.run(milliseconds(300));
     CHECK_FALSE(fixture.pool.isUsable(monotonic_clock::now()));
 }
+
+TEST_CASE("A searcher that ends right after it was verified may have started anew")
+{
+    pool_fixture fixture;
+    fixture.keepReady();
+    fixture.pool.setEvacuated(true);
+    fixture.pool.setEvacuated(false);
+    fixture.pool.maintain(monotonic_clock::now());
+    fixture.run(milliseconds(40));
+    REQUIRE(fixture.pool.isUsable(monotonic_clock::now()));
+    fixture.searcher.server().crash();
+    fixture.run(milliseconds(300));
+    CHECK_FALSE(fixture.pool.isUsable(monotonic_clock::now()));
+}
