--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -9,15 +9,18 @@
 # Each run takes a range of ports of its own, so that several may go on at once. The lock is held as long as this shell.
 # The ranges lie below the ephemeral ports.
 take_ports() {
-  local base
-  for base in ${LIMPET_BASE_PORT:-10000 16000 22000 27000}; do
-    exec 9>"${TMPDIR:-/tmp}/limpet-ports-$base.lock"
-    if flock -n 9; then
-      base_port=$base
-      return
-    fi
+  local base end=$((SECONDS + 300)) # longer than any case of another run
+  while ((SECONDS < end)); do
+    for base in ${LIMPET_BASE_PORT:-10000 16000 22000 27000}; do
+      exec 9>"${TMPDIR:-/tmp}/limpet-ports-$base.lock"
+      if flock -n 9; then
+        base_port=$base
+        return
+      fi
+    done
+    sleep 1
   done
-  echo "all port ranges are in use by other runs; wait for one to end, or set LIMPET_BASE_PORT to a free range of 5,500 ports" >&2
+  echo "all port ranges are in use by other runs for 300 s; set LIMPET_BASE_PORT to a free range of 5,500 ports" >&2
   exit 2
 }
 base_port=
