A watch that is lost while no call fails is sent anew within seconds

Cause: the watch was sent while the way to the store dropped what it acknowledged. The kernel's probes were answered, and renewals used other connections, so nothing showed that the watch would never be answered; it was waited for to its end.

Change: after a renewal that was sent because the store had been silent, the store's revision is read from a replica (a tenth of a call's price). A watch that waits at an earlier revision and has not told of the later one after 0.3 s is sent anew (event 316, watch_lost). The renewal still comes first: a replica might answer while the store is down.

Why it works: every change raises the revision and lies under the watched prefix, so a waiting watch behind the revision can only be late or lost.

Test: gateway_view_test, "A watch that was lost on its way is sent anew though no call fails"; with the stand-in alone it failed (no 200 within 3 s), now it passes. Ruled out: a shorter wait of the watch (0.4 calls a second more).

--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -55,6 +55,7 @@
     evacuation_changed = 312,
     entry_unreadable = 313,
     store_answer_unreadable = 314,
+    watch_lost = 316,
     view_from_peer = 315,
     request_begun = 600,
     request_ended = 601,
--- a/include/limpetpier/transport/metadata_store.h
+++ b/include/limpetpier/transport/metadata_store.h
@@ -75,6 +75,9 @@
     // Changes of the keys with a prefix after a revision: at once if there are any, else after at most the wait.
     virtual void watch(const std::string& prefix, store_revision after, milliseconds wait, handler<store_page> done) = 0;
 
+    // The store's revision, by reading a key of this process from a replica: costs little, and may be seconds old.
+    virtual void readRevision(const std::string& key, handler<store_revision> done) = 0;
+
     virtual void grantLease(milliseconds timeToLive, handler<lease_id> done) = 0;
     virtual void renewLease(lease_id lease, std::function<void(store_result)> done) = 0;
     virtual void endLease(lease_id lease) = 0;
--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -39,6 +39,9 @@
     // Another call was answered. A watch that was sent during an outage may never be: it is given up for a new one.
     void noteAnswer();
 
+    // The store has come to this revision. A watch that still waits at an earlier one may be lost: it is sent anew.
+    void noteRevision(store_revision at);
+
     [[nodiscard]] bool hasRead() const { return m_hasRead; }
     [[nodiscard]] bool isReachable() const { return m_reachable; }
     [[nodiscard]] monotonic_time lastAnswer() const { return m_lastAnswer; }
@@ -53,6 +56,9 @@
     // For this long after the store's return, removals count as lapses of the outage.
     static constexpr milliseconds outageEcho { 2500 };
 
+    // The time that the answer of a watch may take, after another call has shown that there is something to tell.
+    static constexpr milliseconds watchDelay { 300 };
+
     // An answer with this many changes is taken for a part of a backlog, and the next is asked for at once.
     static constexpr std::size_t backlogItems = 64;
 
@@ -61,6 +67,7 @@
     void handlePage(store_result result, store_page page);
     void watch() { watchFor(m_policy.wait); }
     void watchFor(milliseconds wait);
+    void watchAnew();
     void handleChanges(store_result result, const store_page& page);
     void fail();
     void succeed();
@@ -77,6 +84,7 @@
     store_revision m_at;
     bool m_hasRead = false;
     bool m_current = false; // the next step is a watch, not a read
+    bool m_waiting = false; // a watch is under way, and no sign that it is lost
     bool m_reachable = true;
     milliseconds m_retry = firstRetry;
     monotonic_time m_lastAnswer {};
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -76,17 +76,34 @@
             return;
         }
         m_follower.noteAnswer();
+        const bool isSilent = monotonic_clock::now() - lastHeard() >= m_times.silence;
         m_renewed = monotonic_clock::now();
+        if (isSilent)
+            checkWatch();
+        else
+            awaitRenewal();
+    });
+}
+
+// Nothing may have changed, or the watch may be lost behind something that acknowledges what it drops.
+void membership::checkWatch()
+{
+    m_store.readRevision(memberKeys + m_self.value(), [this](store_result result, store_revision revision) {
+        if (m_leaving)
+            return;
+        if (result == store_result::ok)
+            m_follower.noteRevision(revision);
         awaitRenewal();
     });
 }
 
+monotonic_time membership::lastHeard() const { return std::max(m_renewed, m_follower.lastAnswer()); }
+
 // A watch that waits does not notice an outage: then a renewal comes early.
 void membership::awaitRenewal()
 {
     const auto now = monotonic_clock::now();
-    const auto heard = std::max(m_renewed, m_follower.lastAnswer());
-    const auto due = std::min(m_renewed + m_times.renewal, heard + m_times.silence);
+    const auto due = std::min(m_renewed + m_times.renewal, lastHeard() + m_times.silence);
     if (due <= now)
         renew();
     else
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -41,6 +41,8 @@
     void acquire();
     void announce(lease_id lease);
     void renew();
+    void checkWatch();
+    [[nodiscard]] monotonic_time lastHeard() const;
     void awaitRenewal();
     void later(milliseconds delay, void (membership::*step)());
 
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -50,6 +50,7 @@
     event_entry { event::evacuation_changed, event_level::info, "evacuation_changed" },
     event_entry { event::entry_unreadable, event_level::warning, "entry_unreadable" },
     event_entry { event::store_answer_unreadable, event_level::warning, "store_answer_unreadable" },
+    event_entry { event::watch_lost, event_level::warning, "watch_lost" },
     event_entry { event::searcher_verified, event_level::info, "searcher_verified" },
     event_entry { event::searcher_listed, event_level::info, "searcher_listed" },
     event_entry { event::searcher_gone, event_level::info, "searcher_gone" },
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "limpetpier/transport/events.h"
+
 namespace limpetpier {
 
 store_follower::store_follower(const boost::asio::any_io_executor& executor, metadata_store& store, std::string prefix, follow_policy policy, handlers handle)
@@ -59,6 +61,7 @@
 
 void store_follower::watchFor(milliseconds wait)
 {
+    m_waiting = true;
     m_store.watch(m_prefix, m_at, wait, [this, call = ++m_call](store_result result, const store_page& page) {
         if (call == m_call)
             handleChanges(result, page);
@@ -67,6 +70,8 @@
 
 void store_follower::handleChanges(store_result result, const store_page& page)
 {
+    m_waiting = false;
+    m_timer.cancel();
     if (result == store_result::compacted) {
         succeed();
         reload();
@@ -105,6 +110,20 @@
         reload();
 }
 
+void store_follower::noteRevision(store_revision at)
+{
+    if (!m_waiting || at <= m_at)
+        return;
+    m_waiting = false;
+    later(watchDelay, &store_follower::watchAnew);
+}
+
+void store_follower::watchAnew()
+{
+    logEvent(event::watch_lost, event_fields().add("prefix", m_prefix).add("revision", m_at.value()));
+    watch();
+}
+
 void store_follower::fail()
 {
     noteNoAnswer();
--- a/test/standins/platform_store.cc
+++ b/test/standins/platform_store.cc
@@ -59,6 +59,12 @@
         watch.exchange->reset();
 }
 
+void platform_store::loseWatches()
+{
+    std::move(m_watches.begin(), m_watches.end(), std::back_inserter(m_lostWatches));
+    m_watches.clear();
+}
+
 void platform_store::handle(const http_request& request, const raw_exchange_handle& exchange)
 {
     ++m_calls;
@@ -67,6 +73,8 @@
     const auto& target = request.target;
     if (m_mood == store_mood::rejecting)
         answer(exchange, 503, "{}");
+    else if (target.starts_with("/kv-key"))
+        read(parameter(target, "key"), exchange);
     else if (target.starts_with("/kv-range"))
         range(parameter(target, "prefix"), exchange);
     else if (target.starts_with("/kv-watch"))
@@ -81,6 +89,17 @@
         answer(exchange, 200, "{}");
 }
 
+void platform_store::read(const std::string& key, const raw_exchange_handle& exchange)
+{
+    const auto found = m_items.find(key);
+    if (found == m_items.end()) {
+        answer(exchange, 404, "{}");
+        return;
+    }
+    const auto& item = found->second;
+    answer(exchange, 200, json::serialize(json::object { { "key", key }, { "value", item.value }, { "rev", item.revision }, { "created", item.created }, { "lease", item.lease }, { "at", m_revision } }));
+}
+
 void platform_store::range(const std::string& prefix, const raw_exchange_handle& exchange)
 {
     json::array items;
--- a/test/standins/platform_store.h
+++ b/test/standins/platform_store.h
@@ -31,6 +31,9 @@
     // Forgets the history: watches from before are answered with 410.
     void compact();
 
+    // Forgets the watches that wait, and leaves their connections open.
+    void loseWatches();
+
     [[nodiscard]] std::string address() const { return m_server.address(); }
     [[nodiscard]] std::size_t calls() const { return m_calls; }
     [[nodiscard]] bool holds(const std::string& key) const { return m_items.contains(key); }
@@ -54,6 +57,7 @@
     };
 
     void handle(const http_request& request, const raw_exchange_handle& exchange);
+    void read(const std::string& key, const raw_exchange_handle& exchange);
     void range(const std::string& prefix, const raw_exchange_handle& exchange);
     void watch(const std::string& prefix, std::uint64_t after, long waitMs, const raw_exchange_handle& exchange);
     bool answerWatch(const waiting_watch& watch, bool evenIfEmpty);
@@ -72,6 +76,7 @@
     std::uint64_t m_leases = 0;
     std::size_t m_calls = 0;
     std::vector<waiting_watch> m_watches;
+    std::vector<waiting_watch> m_lostWatches;
 };
 
 } // namespace limpetpier::standins
