--- a/include/limpetpier/coordination/member_share.h
+++ b/include/limpetpier/coordination/member_share.h
@@ -15,7 +15,7 @@
 class member_share {
 public:
     // members are the names of all live processes, this one among them or not yet.
-    member_share(node_id self, std::vector<node_id> members);
+    member_share(const node_id& self, const std::vector<node_id>& members);
 
     // Members to divide by.
     [[nodiscard]] std::size_t members() const { return m_count; }
@@ -41,8 +41,8 @@
     static constexpr double countMargin = 0.8;
 
 private:
-    node_id m_self;
-    std::vector<node_id> m_members;
+    std::uint64_t m_self; // hash of the own name
+    std::vector<std::uint64_t> m_members; // hashes of all names: ranks are taken for each service and searcher
     std::size_t m_count;
 };
 
--- a/include/limpetpier/state/searcher_directory.h
+++ b/include/limpetpier/state/searcher_directory.h
@@ -59,6 +59,7 @@
 
 private:
     std::map<searcher_id, record> m_records;
+    monotonic_time m_nextDrop = monotonic_time::max(); // no entry is dropped before
 };
 
 } // namespace limpetpier
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -65,6 +65,7 @@
         logEvent(event::searcher_listed, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("address", entry.address).add("zone", entry.zone.value()).add("state", entry.draining ? "draining" : "ready").add("cold_ms", entry.coldLeft).add("born", entry.born));
     if (!pool) {
         pool = std::make_unique<searcher_pool>(m_executor, m_protocol, entry);
+        m_inTurn.push_back(pool.get());
         auto& pools = m_services[entry.service];
         const auto position = std::lower_bound(pools.begin(), pools.end(), entry.id, [](const searcher_pool* other, const searcher_id& id) { return other->entry().id < id; });
         pools.insert(position, pool.get());
@@ -82,6 +83,7 @@
     logEvent(event::searcher_gone, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("running", found->second->runningCalls()));
     auto& pools = m_services[entry.service];
     std::erase(pools, found->second.get());
+    std::erase(m_inTurn, found->second.get());
     if (pools.empty())
         m_services.erase(entry.service);
     entry.draining = true; // finishes what runs, takes nothing more
@@ -192,12 +194,10 @@
 {
     // Begins behind the searcher at which the last round stopped, so that all get their turn.
     std::uint32_t opened = 0;
-    auto next = m_pools.upper_bound(m_lastMaintained);
-    for (std::size_t count = 0; count < m_pools.size() && opened < mostOpenedAtOnce; ++count, ++next) {
-        if (next == m_pools.end())
-            next = m_pools.begin();
-        opened += next->second->maintain(now) ? 1 : 0;
-        m_lastMaintained = next->first;
+    for (std::size_t count = 0; count < m_inTurn.size() && opened < mostOpenedAtOnce; ++count, ++m_turn) {
+        if (m_turn >= m_inTurn.size())
+            m_turn = 0;
+        opened += m_inTurn[m_turn]->maintain(now) ? 1 : 0;
     }
     for (const auto& pool : m_leaving)
         pool->maintain(now);
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -79,10 +79,11 @@
     const gateway_protocol& m_protocol;
     data_centre_id m_ownZone;
     shared_bounds m_bounds;
-    searcher_id m_lastMaintained;
     double m_retrySlack = 0; // this process's part
     std::set<data_centre_id> m_evacuated;
     std::map<searcher_id, std::unique_ptr<searcher_pool>> m_pools;
+    std::vector<searcher_pool*> m_inTurn; // all of m_pools, for maintenance
+    std::size_t m_turn = 0; // index of the next one
     std::map<service_id, std::vector<searcher_pool*>> m_services; // by searcher id within a service
     std::map<service_id, retry_allowance> m_allowances;
     std::vector<std::unique_ptr<searcher_pool>> m_leaving; // gone from the directory, with calls running
--- a/src/coordination/member_share.cc
+++ b/src/coordination/member_share.cc
@@ -10,26 +10,30 @@
 constexpr std::uint64_t fnvOffset = 14695981039346656037ULL;
 constexpr std::uint64_t fnvPrime = 1099511628211ULL;
 constexpr unsigned mixShift = 32;
+constexpr std::uint64_t mixFactor = 0xd6e8feb86659fd93ULL; // odd, so that no bits are lost
 
-std::uint64_t hashOf(const std::string& subject, const std::string& member)
+std::uint64_t hashOf(const std::string& text)
 {
     std::uint64_t hash = fnvOffset;
-    for (const auto* text : { &subject, &member }) {
-        for (const unsigned char letter : *text)
-            hash = (hash ^ letter) * fnvPrime;
-        hash = (hash ^ 0xFFU) * fnvPrime;
-    }
-    hash ^= hash >> mixShift;
-    hash *= fnvPrime;
+    for (const unsigned char letter : text)
+        hash = (hash ^ letter) * fnvPrime;
+    return hash;
+}
+
+std::uint64_t mix(std::uint64_t hash)
+{
+    hash = (hash ^ (hash >> mixShift)) * mixFactor;
+    hash = (hash ^ (hash >> mixShift)) * mixFactor;
     return hash ^ (hash >> mixShift);
 }
 
 } // namespace
 
-member_share::member_share(node_id self, std::vector<node_id> members)
-    : m_self(std::move(self))
-    , m_members(std::move(members))
+member_share::member_share(const node_id& self, const std::vector<node_id>& members)
+    : m_self(hashOf(self.value()))
 {
+    for (const auto& member : members)
+        m_members.push_back(hashOf(member.value()));
     if (std::find(m_members.begin(), m_members.end(), m_self) == m_members.end())
         m_members.push_back(m_self);
     m_count = m_members.size();
@@ -37,8 +41,9 @@
 
 std::size_t member_share::rank(const std::string& subject) const
 {
-    const auto own = hashOf(subject, m_self.value());
-    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const node_id& member) { return hashOf(subject, member.value()) < own; }));
+    const auto seed = hashOf(subject);
+    const auto own = mix(seed ^ m_self);
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](std::uint64_t member) { return mix(seed ^ member) < own; }));
 }
 
 bool member_share::keepsReady(const service_id& service, std::size_t searcherIndex, std::size_t searchers, std::uint32_t bound) const
--- a/src/state/searcher_directory.cc
+++ b/src/state/searcher_directory.cc
@@ -37,8 +37,10 @@
         return;
     if (!afterOutage)
         m_records.erase(found);
-    else if (!found->second.dropAt)
+    else if (!found->second.dropAt) {
         found->second.dropAt = now + lapseGrace;
+        m_nextDrop = std::min(m_nextDrop, *found->second.dropAt);
+    }
 }
 
 std::set<searcher_id> searcher_directory::replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage)
@@ -65,9 +67,16 @@
 std::set<searcher_id> searcher_directory::expire(monotonic_time now)
 {
     std::set<searcher_id> expired;
+    if (now < m_nextDrop)
+        return expired;
+    m_nextDrop = monotonic_time::max();
     for (const auto& [id, record] : m_records) {
-        if (record.dropAt && *record.dropAt <= now)
+        if (!record.dropAt)
+            continue;
+        if (*record.dropAt <= now)
             expired.insert(id);
+        else
+            m_nextDrop = std::min(m_nextDrop, *record.dropAt);
     }
     for (const auto& id : expired)
         m_records.erase(id);
