A watch that does not tell is given up for a read of all keys

For a second watches hear nothing, then all are cut, and the next one gets 410 and leads to a read. The check of the revision found the watch behind and sent it anew at the very moment of the cut (3.45 s). That one was neither cut nor answered; it waited until the next change at 9.07 s, which gave 410. Later checks did not help: the replica was behind, at revision 59 instead of 61.

Change: a watch that is behind is given up for a linearizable read of all keys, which is right whatever the history, and is watched from there.

Test: gateway_view_test, "What a watch does not tell is read, though no call fails". It replaces the test with one lost watch by a stand-in that ignores every watch, which is stricter; it failed before (no 200 in 3 s).

--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -39,7 +39,8 @@
     // Another call was answered. A watch that was sent during an outage may never be: it is given up for a new one.
     void noteAnswer();
 
-    // The store has come to this revision. A watch that still waits at an earlier one may be lost: it is sent anew.
+    // The store has come to this revision. If the watch does not tell of it soon, it is given up and everything is read:
+    // another watch might hear as little.
     void noteRevision(store_revision at);
 
     [[nodiscard]] bool hasRead() const { return m_hasRead; }
@@ -67,7 +68,7 @@
     void handlePage(store_result result, store_page page);
     void watch() { watchFor(m_policy.wait); }
     void watchFor(milliseconds wait);
-    void watchAnew();
+    void giveUpWatch();
     void handleChanges(store_result result, const store_page& page);
     void fail();
     void succeed();
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -115,13 +115,13 @@
     if (!m_waiting || at <= m_at)
         return;
     m_waiting = false;
-    later(watchDelay, &store_follower::watchAnew);
+    later(watchDelay, &store_follower::giveUpWatch);
 }
 
-void store_follower::watchAnew()
+void store_follower::giveUpWatch()
 {
     logEvent(event::watch_lost, event_fields().add("prefix", m_prefix).add("revision", m_at.value()));
-    watch();
+    reload();
 }
 
 void store_follower::fail()
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -306,11 +306,11 @@
     CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }));
 }
 
-TEST_CASE("A watch that was lost on its way is sent anew though no call fails")
+TEST_CASE("What a watch does not tell is read, though no call fails")
 {
     view_fixture fixture;
     fixture.run(viewDelay); // the watch waits
-    fixture.store.loseWatches();
+    fixture.store.ignoreWatches();
     fixture.configure(6, newRoute);
     CHECK(fixture.runUntil([&] { return fixture.ask("/new/x", "id1").reply.status == 200; }));
 }
--- a/test/standins/platform_store.cc
+++ b/test/standins/platform_store.cc
@@ -59,12 +59,6 @@
         watch.exchange->reset();
 }
 
-void platform_store::loseWatches()
-{
-    std::move(m_watches.begin(), m_watches.end(), std::back_inserter(m_lostWatches));
-    m_watches.clear();
-}
-
 void platform_store::handle(const http_request& request, const raw_exchange_handle& exchange)
 {
     ++m_calls;
@@ -117,7 +111,7 @@
         return;
     }
     const waiting_watch asked { prefix, after, exchange };
-    if (answerWatch(asked, false))
+    if (!m_ignoresWatches && answerWatch(asked, false))
         return;
     m_watches.push_back(asked);
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, std::chrono::milliseconds(waitMs));
@@ -172,7 +166,7 @@
 
 void platform_store::wake()
 {
-    if (m_mood != store_mood::well)
+    if (m_mood != store_mood::well || m_ignoresWatches)
         return;
     std::erase_if(m_watches, [this](const waiting_watch& watch) { return !watch.exchange->isOpen() || answerWatch(watch, false); });
 }
--- a/test/standins/platform_store.h
+++ b/test/standins/platform_store.h
@@ -31,8 +31,8 @@
     // Forgets the history: watches from before are answered with 410.
     void compact();
 
-    // Forgets the watches that wait, and leaves their connections open.
-    void loseWatches();
+    // From now on watches hear nothing, those that wait already too; their connections stay open.
+    void ignoreWatches() { m_ignoresWatches = true; }
 
     [[nodiscard]] std::string address() const { return m_server.address(); }
     [[nodiscard]] std::size_t calls() const { return m_calls; }
@@ -76,7 +76,7 @@
     std::uint64_t m_leases = 0;
     std::size_t m_calls = 0;
     std::vector<waiting_watch> m_watches;
-    std::vector<waiting_watch> m_lostWatches;
+    bool m_ignoresWatches = false;
 };
 
 } // namespace limpetpier::standins
