A gateway's only ready connection is in its own zone

Cause: with 79 members and 62 connections a searcher each member keeps one of a shard's three searchers ready, chosen by rank alone, so three of four parts crossed zones; opening another connection costs more than a zone.

Change: members list their zone with their address. Every process works out the choices of all members in the same order: own zone first while the searcher has room, then the others, so that no searcher gets more ready connections than half of its bound. Searchers whose zone is to be emptied are no longer kept ready. Where a bound has room for more than one searcher, or for all, nothing changes.

Entries of the version before have no zone and are taken as of none.

--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -272,12 +272,12 @@
     std::vector<data_centre_id> evacuated;
     std::vector<viewed_searcher> searchers;
     std::vector<node_id> members;
-    std::vector<std::string> memberAddresses; // in the order of members
+    std::vector<std::string> memberEntries; // in the order of members, as they lie in the store
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(ageMs, revision, unchanged, tableText, evacuated, searchers, members, memberAddresses);
+        archive(ageMs, revision, unchanged, tableText, evacuated, searchers, members, memberEntries);
     }
 };
 
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -27,11 +27,11 @@
     : m_executor(executor)
     , m_protocol(protocol)
     , m_settings(settings)
-    , m_share(settings.node, {})
+    , m_share({ settings.node, settings.zone }, {})
     , m_store(executor, store, {}, { longestWatch, settings.viewDelay },
           { [this](const std::vector<store_item>& items, bool afterOutage) { replace(items, afterOutage); },
               [this](const store_item& item, bool afterOutage) { apply(item, afterOutage); }, std::move(onReachable) })
-    , m_membership(executor, store, m_store, settings.node, settings.peerAddress, settings.member)
+    , m_membership(executor, store, m_store, { settings.node, settings.zone }, settings.peerAddress, settings.member)
 {
 }
 
@@ -148,7 +148,7 @@
 
 void deployment_view::changeMembers()
 {
-    member_share share(m_settings.node, m_membership.names());
+    member_share share({ m_settings.node, m_settings.zone }, m_membership.list());
     m_membersChanged = false;
     if (share.members() != m_share.members()) {
         m_membersChangedAt = monotonic_clock::now();
@@ -187,9 +187,9 @@
         const auto coldLeft = std::chrono::duration_cast<milliseconds>(std::max(record.coldUntil, now) - now);
         view.searchers.push_back({ id, entry.service, entry.address, entry.zone, entry.slots, entry.draining, coldLeft.count(), entry.born });
     }
-    for (const auto& [node, address] : m_membership.members()) {
+    for (const auto& [node, member] : m_membership.members()) {
         view.members.push_back(node);
-        view.memberAddresses.push_back(address);
+        view.memberEntries.push_back(membership::encode(member));
     }
     return view;
 }
@@ -199,7 +199,7 @@
 {
     const auto now = monotonic_clock::now();
     const auto answered = now - milliseconds(view.ageMs);
-    if (m_store.isReachable() || answered <= lastKnown() || view.members.size() != view.memberAddresses.size())
+    if (m_store.isReachable() || answered <= lastKnown() || view.members.size() != view.memberEntries.size())
         return;
     if (view.unchanged && view.revision != revision())
         return; // meant for a request before another peer's answer
@@ -220,7 +220,7 @@
     m_changes.searchers.merge(m_directory.replaceAll(entries, now, false));
     m_membership.clear();
     for (std::size_t index = 0; index < view.members.size(); ++index)
-        m_membership.put(view.members[index], view.memberAddresses[index]);
+        m_membership.put(view.members[index], view.memberEntries[index]);
     m_settled = true;
     changeMembers();
 }
@@ -236,8 +236,8 @@
         return;
     m_askPeersAt = now + askPeersInterval;
     std::vector<std::string> addresses;
-    for (const auto& [node, address] : m_membership.members())
-        addresses.push_back(address);
+    for (const auto& [node, member] : m_membership.members())
+        addresses.push_back(member.address);
     if (addresses.empty())
         addresses = m_settings.seeds;
     std::erase(addresses, m_settings.peerAddress);
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -10,12 +10,12 @@
 
 } // namespace
 
-membership::membership(const asio::any_io_executor& executor, metadata_store& store, store_follower& follower, node_id self, std::string peerAddress, member_times times)
+membership::membership(const asio::any_io_executor& executor, metadata_store& store, store_follower& follower, listed_member self, std::string peerAddress, member_times times)
     : m_store(store)
     , m_follower(follower)
     , m_timer(executor)
-    , m_self(std::move(self))
-    , m_peerAddress(std::move(peerAddress))
+    , m_self(std::move(self.name))
+    , m_own { std::move(self.zone), std::move(peerAddress) }
     , m_times(times)
 {
 }
@@ -48,7 +48,7 @@
 
 void membership::announce(lease_id lease)
 {
-    m_store.write(memberKeys + m_self.value(), m_peerAddress, lease, [this, lease](store_result result) {
+    m_store.write(memberKeys + m_self.value(), encode(m_own), lease, [this, lease](store_result result) {
         if (m_leaving)
             return;
         if (result != store_result::ok) {
@@ -127,14 +127,21 @@
     if (item.removed)
         m_members.erase(node);
     else
-        m_members[node] = item.value;
+        put(node, item.value);
 }
 
-std::vector<node_id> membership::names() const
+void membership::put(const node_id& node, const std::string& entry)
 {
-    std::vector<node_id> result;
-    for (const auto& [name, address] : m_members)
-        result.push_back(name);
+    const auto space = entry.find(' ');
+    const auto zone = space == std::string::npos ? std::string() : entry.substr(space + 1);
+    m_members[node] = { data_centre_id(zone), entry.substr(0, space) };
+}
+
+std::vector<listed_member> membership::list() const
+{
+    std::vector<listed_member> result;
+    for (const auto& [name, member] : m_members)
+        result.push_back({ name, member.zone });
     return result;
 }
 
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 
+#include "limpetpier/coordination/member_share.h"
 #include "limpetpier/transport/endpoints.h"
 #include "limpetpier/transport/store_follower.h"
 
@@ -18,24 +19,34 @@
 // Keeps this process on the list of live processes in the platform's store, under a lease, and holds that list.
 class membership {
 public:
-    membership(const asio::any_io_executor& executor, metadata_store& store, store_follower& follower, node_id self, std::string peerAddress, member_times times);
+    membership(const asio::any_io_executor& executor, metadata_store& store, store_follower& follower, listed_member self, std::string peerAddress, member_times times);
 
     void start();
 
     // Leaves the list; the lease is ended.
     void leave();
 
+    struct member {
+        data_centre_id zone;
+        std::string address; // for other members
+    };
+
     // Takes over one key of the list, or forgets all before a new read.
     void apply(const store_item& item);
     void clear() { m_members.clear(); }
-    void put(const node_id& node, const std::string& address) { m_members[node] = address; }
+
+    // Takes over an entry as it lies in the store.
+    void put(const node_id& node, const std::string& entry);
+
+    // The entry of a member as it lies in the store.
+    [[nodiscard]] static std::string encode(const member& member) { return member.address + " " + member.zone.value(); }
 
     // True for keys of the list.
     [[nodiscard]] static bool owns(const std::string& key);
 
-    // Live processes and their addresses for each other.
-    [[nodiscard]] const std::map<node_id, std::string>& members() const { return m_members; }
-    [[nodiscard]] std::vector<node_id> names() const;
+    // Live processes.
+    [[nodiscard]] const std::map<node_id, member>& members() const { return m_members; }
+    [[nodiscard]] std::vector<listed_member> list() const;
 
 private:
     void acquire();
@@ -50,12 +61,12 @@
     store_follower& m_follower;
     boost::asio::steady_timer m_timer;
     node_id m_self;
-    std::string m_peerAddress;
+    member m_own;
     member_times m_times;
     lease_id m_lease;
     monotonic_time m_renewed {}; // last renewal, or the grant
     bool m_leaving = false;
-    std::map<node_id, std::string> m_members;
+    std::map<node_id, member> m_members;
 };
 
 } // namespace limpetpier
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -98,17 +98,20 @@
     if (found == m_services.end())
         return;
     const auto* limits = table.service(service);
-    const auto taking = static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(), [](const searcher_pool* pool) { return !pool->entry().draining; }));
-    std::size_t index = 0;
+    std::vector<data_centre_id> zones; // of those that take requests
+    for (const auto* pool : found->second) {
+        if (pool->takesRequests())
+            zones.push_back(pool->entry().zone);
+    }
+    const auto ready = share.keepsReady(service, zones, limits == nullptr ? 0 : limits->connections);
+    auto keepReady = ready.begin();
     for (auto* pool : found->second) {
         if (limits == nullptr) {
             pool->changeLimits({});
             continue;
         }
         const auto cold = share.coldRequests(pool->entry().id, limits->coldPerSecond * m_bounds.coldFactor + m_bounds.coldSlack);
-        pool->changeLimits({ share.connections(limits->connections), share.keepsReady(service, index, taking, limits->connections), cold, limits->healthPath });
-        if (!pool->entry().draining)
-            ++index;
+        pool->changeLimits({ share.connections(limits->connections), pool->takesRequests() && *keepReady++, cold, limits->healthPath });
     }
 }
 
--- a/programs/gateway/searcher_pool.cc
+++ b/programs/gateway/searcher_pool.cc
@@ -100,7 +100,7 @@
 
 bool searcher_pool::isUsable(monotonic_time now)
 {
-    if (m_entry.draining || m_evacuated || !m_verified || m_limits.connections == 0)
+    if (!takesRequests() || !m_verified || m_limits.connections == 0)
         return false;
     if (now < m_coldUntil && !m_cold.allows(now))
         return false;
@@ -162,7 +162,7 @@
             continue;
         }
         // Checked again right before the write: the searcher may have begun to drain while the call waited.
-        if (m_entry.draining || m_evacuated || !m_verified) {
+        if (!takesRequests() || !m_verified) {
             failQueue();
             return;
         }
@@ -434,7 +434,7 @@
             handleBreak();
     }
     const bool wanted = !m_verified || (m_limits.keepReady && now - m_lastUse < readyFor);
-    if (!m_slots.empty() || m_entry.draining || m_evacuated || m_limits.connections == 0 || now < m_retryAt || !wanted)
+    if (!m_slots.empty() || !takesRequests() || m_limits.connections == 0 || now < m_retryAt || !wanted)
         return false;
     openSlot();
     return true;
--- a/programs/gateway/searcher_pool.h
+++ b/programs/gateway/searcher_pool.h
@@ -35,11 +35,14 @@
     [[nodiscard]] const searcher_entry& entry() const { return m_entry; }
     [[nodiscard]] const pool_limits& limits() const { return m_limits; }
 
+    // False once it is leaving, or while its zone is to be emptied.
+    [[nodiscard]] bool takesRequests() const { return !m_entry.draining && !m_evacuated; }
+
     // True if a request may be sent now.
     [[nodiscard]] bool isUsable(monotonic_time now);
 
     // True if requests may be sent now or as soon as a connection is free.
-    [[nodiscard]] bool isReachable() const { return !m_entry.draining && !m_evacuated && m_verified && m_limits.connections > 0; }
+    [[nodiscard]] bool isReachable() const { return takesRequests() && m_verified && m_limits.connections > 0; }
 
     // Expected cost of sending here, in multiples of an ordinary reply's time; smaller is better.
     [[nodiscard]] double cost(monotonic_time now) const;
--- a/src/coordination/member_share.cc
+++ b/src/coordination/member_share.cc
@@ -29,37 +29,81 @@
 
 } // namespace
 
-member_share::member_share(const node_id& self, const std::vector<node_id>& members)
-    : m_self(hashOf(self.value()))
+member_share::member_share(const listed_member& self, const std::vector<listed_member>& members)
+    : m_self { hashOf(self.name.value()), hashOf(self.zone.value()) }
 {
     for (const auto& member : members)
-        m_members.push_back(hashOf(member.value()));
+        m_members.push_back({ hashOf(member.name.value()), hashOf(member.zone.value()) });
     if (std::find(m_members.begin(), m_members.end(), m_self) == m_members.end())
         m_members.push_back(m_self);
-    m_count = m_members.size();
 }
 
 std::size_t member_share::rank(const std::string& subject) const
 {
     const auto seed = hashOf(subject);
-    const auto own = mix(seed ^ m_self);
-    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](std::uint64_t member) { return mix(seed ^ member) < own; }));
+    const auto own = mix(seed ^ m_self.name);
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const hashed_member& member) { return mix(seed ^ member.name) < own; }));
 }
 
-bool member_share::keepsReady(const service_id& service, std::size_t searcherIndex, std::size_t searchers, std::uint32_t bound) const
+std::vector<bool> member_share::keepsReady(const service_id& service, const std::vector<data_centre_id>& searcherZones, std::uint32_t bound) const
 {
+    const std::size_t searchers = searcherZones.size();
     const std::size_t usable = bound / 2;
-    if (usable >= m_count || searchers == 0)
-        return true;
-    // This many of the service's searchers, beginning at one chosen by rank.
-    const auto kept = std::max<std::size_t>(1, searchers * usable / m_count);
-    return (searcherIndex + searchers - rank(service.value()) % searchers) % searchers < kept;
+    if (usable >= m_members.size() || searchers == 0)
+        return std::vector<bool>(searchers, true);
+    std::vector<bool> kept(searchers, false);
+    const auto each = searchers * usable / m_members.size();
+    if (each > 1) {
+        const auto first = rank(service.value());
+        for (std::size_t next = first; next < first + each; ++next)
+            kept[next % searchers] = true;
+        return kept;
+    }
+    std::vector<std::uint64_t> zones;
+    for (const auto& zone : searcherZones)
+        zones.push_back(hashOf(zone.value()));
+    const auto even = (m_members.size() + searchers - 1) / searchers;
+    kept[chooseReady(hashOf(service.value()), zones, std::max(usable, even))] = true;
+    return kept;
+}
+
+// Every process works out the choices of all members in the same order, so that no searcher is chosen by more than the
+// capacity: first those that find room in their own zone, then the others.
+std::size_t member_share::chooseReady(std::uint64_t seed, const std::vector<std::uint64_t>& searcherZones, std::size_t capacity) const
+{
+    const auto searchers = searcherZones.size();
+    std::vector<std::size_t> taken(searchers, 0);
+    const auto take = [&](const hashed_member& member, bool ownZone) {
+        const auto first = mix(seed ^ member.name) % searchers;
+        for (std::size_t step = 0; step < searchers; ++step) {
+            const auto searcher = (first + step) % searchers;
+            if (taken[searcher] >= capacity || (ownZone && searcherZones[searcher] != member.zone))
+                continue;
+            ++taken[searcher];
+            return searcher;
+        }
+        return searchers;
+    };
+    std::vector<hashed_member> others;
+    for (const auto& member : m_members) {
+        const auto searcher = take(member, true);
+        if (searcher == searchers)
+            others.push_back(member);
+        else if (member == m_self)
+            return searcher;
+    }
+    for (const auto& member : others) {
+        const auto searcher = take(member, false);
+        if (member == m_self)
+            return searcher;
+    }
+    return 0;
 }
 
 std::uint32_t member_share::coldRequests(const searcher_id& searcher, double boundPerSecond) const
 {
     const double usable = std::floor(boundPerSecond * countMargin);
-    const auto each = static_cast<std::uint32_t>(usable / static_cast<double>(m_count));
+    const auto each = static_cast<std::uint32_t>(usable / static_cast<double>(m_members.size()));
     if (each >= 1)
         return each;
     return static_cast<double>(rank(searcher.value())) < usable ? 1 : 0;
