Queries answer earlier where answers leave late

Change: each route keeps how long its answers take to leave once they are due (answer_delay, quick to rise and slow to fall), and gather_policy decides by so much earlier, an eighth of the objective at most. Fast machines decide as before.

Test: gather_policy_test, "A process whose answers leave late decides earlier"; it came with the class and was not run without it.

--- a/programs/gateway/gather_run.cc
+++ b/programs/gateway/gather_run.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <set>
 
-#include "limpetpier/coordination/gather_policy.h"
 #include "limpetpier/coordination/part_merge.h"
 #include "limpetpier/transport/events.h"
 #include "run_base.h"
@@ -18,7 +17,7 @@
 public:
     gather_run(run_context& context, accepted_request request)
         : run_base(context, std::move(request))
-        , m_policy(m_request.rule->shards.size(), m_request.rule->leastCoverage, m_request.arrived, m_request.rule->objective)
+        , m_policy(m_request.rule->shards.size(), m_request.rule->leastCoverage, m_request.arrived, m_request.rule->objective, m_request.record->answers.expected())
     {
         for (const auto& service : m_request.rule->shards)
             m_parts.push_back({ service, part_state::waiting, {}, {}, 0, 0, {}, {} });
@@ -160,8 +159,10 @@
             return;
         const auto now = monotonic_clock::now();
         const auto state = progress();
+        if (state.done >= m_policy.leastParts())
+            m_coveredAt = std::min(m_coveredAt, now);
         if (m_policy.shouldAnswer(state, now))
-            answer();
+            answer(now);
         else if (m_policy.cannotSucceed(state, now) || now >= m_request.answerBy)
             fail(now);
         else
@@ -212,8 +213,9 @@
         settle();
     }
 
-    void answer()
+    void answer(monotonic_time now)
     {
+        const auto due = std::min(now, std::max(m_policy.answerAt(), m_coveredAt));
         merged_answer merged;
         std::vector<std::string> bodies;
         for (auto& part : m_parts) {
@@ -228,6 +230,7 @@
         m_report.missingParts = merged.missingParts;
         logMissing(event::part_missing);
         finish(m_context.protocol.encodeMerged(merged), merged.missingParts == 0 ? "answered" : "answered_incomplete");
+        m_request.record->answers.record(std::chrono::duration_cast<microseconds>(monotonic_clock::now() - due));
         releaseAll(loserLinger);
     }
 
@@ -300,6 +303,7 @@
     gather_policy m_policy;
     std::vector<part> m_parts;
     std::set<std::string> m_signatures; // of the parts that are in: each counts once
+    monotonic_time m_coveredAt = monotonic_time::max(); // when the least coverage was in
     bool m_armed = false;
     monotonic_time m_armedFor {};
     std::shared_ptr<gather_run> m_self; // until the run is over
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -5,15 +5,17 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "limpetpier/coordination/gather_policy.h"
 #include "limpetpier/coordination/latency_histogram.h"
 #include "limpetpier/transport/client_listener.h"
 #include "searcher_fleet.h"
 
 namespace limpetpier {
 
-// What a route's sends have taken lately.
+// What a route's sends and answers have taken lately.
 struct route_record {
     latency_histogram replies;
+    answer_delay answers; // of queries over many shards
 
     // Time without a reply after which a send is hedged.
     [[nodiscard]] microseconds hedgeAfter(const route& route) const;
--- a/src/coordination/gather_policy.cc
+++ b/src/coordination/gather_policy.cc
@@ -11,10 +11,16 @@
 
 } // namespace
 
-gather_policy::gather_policy(std::size_t parts, double leastCoverage, monotonic_time arrived, milliseconds objective)
+void answer_delay::record(microseconds delay)
+{
+    const double gain = delay > m_expected ? riseGain : fallGain;
+    m_expected += std::chrono::duration_cast<microseconds>(gain * (delay - m_expected));
+}
+
+gather_policy::gather_policy(std::size_t parts, double leastCoverage, monotonic_time arrived, milliseconds objective, microseconds delay)
     : m_parts(parts)
     , m_least(std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(leastCoverage * static_cast<double>(parts) - rounding))))
-    , m_answerAt(arrived + objective - answerMargin)
+    , m_answerAt(arrived + objective - answerMargin - std::min<microseconds>(delay, objective / largestDelayPart))
     , m_unsentUntil(arrived + objective / unsentPart)
 {
 }
--- a/test/gather_policy_test.cc
+++ b/test/gather_policy_test.cc
@@ -8,15 +8,16 @@
 
 const monotonic_time start { std::chrono::hours { 1 } };
 constexpr milliseconds objective { 80 };
-const gather_policy policy(20, 0.89, start, objective);
+constexpr microseconds noDelay { 0 };
+const gather_policy policy(20, 0.89, start, objective, noDelay);
 
 } // namespace
 
 TEST_CASE("The least coverage is a whole number of parts, rounded up")
 {
     CHECK(policy.leastParts() == 18);
-    CHECK(gather_policy(20, 0.85, start, objective).leastParts() == 17);
-    CHECK(gather_policy(3, 0, start, objective).leastParts() == 1);
+    CHECK(gather_policy(20, 0.85, start, objective, noDelay).leastParts() == 17);
+    CHECK(gather_policy(3, 0, start, objective, noDelay).leastParts() == 1);
 }
 
 TEST_CASE("While there is time all parts are waited for")
@@ -38,6 +39,36 @@
     CHECK(policy.nextDecision(start + milliseconds(20)) == late);
 }
 
+TEST_CASE("A process whose answers leave late decides earlier")
+{
+    answer_delay delay;
+    CHECK(delay.expected() == noDelay);
+
+    SECTION("by what the delay is expected to be")
+    {
+        for (int answer = 0; answer < 20; ++answer)
+            delay.record(milliseconds(4));
+        const gather_policy slow(20, 0.89, start, objective, delay.expected());
+        CHECK(slow.answerAt() <= policy.answerAt() - milliseconds(3));
+        CHECK(slow.answerAt() >= policy.answerAt() - milliseconds(4));
+    }
+
+    SECTION("but keeps most of the objective for the parts")
+    {
+        delay.record(milliseconds(500));
+        CHECK(gather_policy(20, 0.89, start, objective, delay.expected()).answerAt() == policy.answerAt() - objective / 8);
+    }
+
+    SECTION("and forgets a long delay slowly")
+    {
+        delay.record(milliseconds(8));
+        const auto raised = delay.expected();
+        delay.record(milliseconds(0));
+        CHECK(delay.expected() < raised);
+        CHECK(delay.expected() > raised / 2);
+    }
+}
+
 TEST_CASE("A query that can no longer reach its coverage has failed")
 {
     CHECK_FALSE(policy.cannotSucceed({ 0, 2, 0 }, start));
