A silent watch is checked no more often than the bounds ask for

Change: the check comes at most once in 60 % of the tighter bound of draining and configuration: as before on the small sites (bounds of 3 s), every second early renewal on the grown ones (5 s). Test: gateway_view_test, "What a watch does not tell is read, though no call fails", holds.

--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -29,6 +29,9 @@
 // may be slow, and for requests under way.
 constexpr int viewDelayPercent = 30;
 
+// A silent watch is checked as often as this share of the tighter of the same bounds, so that what it missed is read in time.
+constexpr int watchCheckPercent = 60;
+
 // A searcher's entry lapses after this many heartbeats without one. An outage must be noticed before, by a renewal that is
 // not answered.
 constexpr int heartbeatsUntilLapse = 3;
@@ -53,6 +56,7 @@
         settings.seeds.push_back(host + ":" + std::to_string(node.firstPeerPort));
     settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack };
     settings.viewDelay = std::min(node.drainBound, node.tableBound) * viewDelayPercent / 100;
+    settings.member.watchCheck = std::min(node.drainBound, node.tableBound) * watchCheckPercent / 100;
     settings.stopGrace = node.stopGrace;
     settings.member.life = node.shortestLease * memberLifeFactor;
     settings.member.renewal = settings.member.life / renewalsInLife;
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -76,9 +76,10 @@
             return;
         }
         m_follower.noteAnswer();
-        const bool isSilent = monotonic_clock::now() - lastHeard() >= m_times.silence;
-        m_renewed = monotonic_clock::now();
-        if (isSilent)
+        const auto now = monotonic_clock::now();
+        const bool isSilent = now - lastHeard() >= m_times.silence;
+        m_renewed = now;
+        if (isSilent && now - m_watchChecked >= m_times.watchCheck)
             checkWatch();
         else
             awaitRenewal();
@@ -88,6 +89,7 @@
 // Nothing may have changed, or the watch may be lost behind something that acknowledges what it drops.
 void membership::checkWatch()
 {
+    m_watchChecked = monotonic_clock::now();
     m_store.readRevision(memberKeys + m_self.value(), [this](store_result result, store_revision revision) {
         if (m_leaving)
             return;
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -14,6 +14,7 @@
     milliseconds life { 6000 }; // time to live of an entry
     milliseconds renewal { 2000 }; // between renewals
     milliseconds silence { 2000 }; // without any answer of the store for this long, a renewal shows whether it answers
+    milliseconds watchCheck { 1800 }; // between checks whether a watch that is silent has missed a change
 };
 
 // Keeps this process on the list of live processes in the platform's store, under a lease, and holds that list.
@@ -65,6 +66,7 @@
     member_times m_times;
     lease_id m_lease;
     monotonic_time m_renewed {}; // last renewal, or the grant
+    monotonic_time m_watchChecked {};
     bool m_leaving = false;
     std::map<node_id, member> m_members;
 };
