Changes of the store are gathered for half of the tighter bound

The rest of the bound is for a slow store. A failed read of the revision is now treated as a failed renewal.

Ruled out: less of the calls of machines that are turned away, which are under a tenth.

--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -27,7 +27,7 @@
 
 // Part of the tighter bound of draining and configuration in which changes are gathered; the rest is for the store, which
 // may be slow, and for requests under way.
-constexpr int viewDelayPercent = 30;
+constexpr int viewDelayPercent = 50;
 
 // A silent watch is checked as often as this share of the tighter of the same bounds, so that what it missed is read in time.
 constexpr int watchCheckPercent = 60;
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -93,8 +93,12 @@
     m_store.readRevision(memberKeys + m_self.value(), [this](store_result result, store_revision revision) {
         if (m_leaving)
             return;
-        if (result == store_result::ok)
-            m_follower.noteRevision(revision);
+        if (result != store_result::ok) {
+            m_follower.noteNoAnswer();
+            later(retryDelay, &membership::renew);
+            return;
+        }
+        m_follower.noteRevision(revision);
         awaitRenewal();
     });
 }
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -98,20 +98,22 @@
     if (found == m_services.end())
         return;
     const auto* limits = table.service(service);
+    if (limits == nullptr) {
+        for (auto* pool : found->second)
+            pool->changeLimits({});
+        return;
+    }
     std::vector<data_centre_id> zones; // of those that take requests
     for (const auto* pool : found->second) {
         if (pool->takesRequests())
             zones.push_back(pool->entry().zone);
     }
-    const auto ready = share.keepsReady(service, zones, limits == nullptr ? 0 : limits->connections);
-    auto keepReady = ready.begin();
+    const auto keepsReady = share.keepsReady(service, zones, limits->connections);
+    std::size_t taking = 0;
     for (auto* pool : found->second) {
-        if (limits == nullptr) {
-            pool->changeLimits({});
-            continue;
-        }
+        const bool ready = pool->takesRequests() && keepsReady[taking++];
         const auto cold = share.coldRequests(pool->entry().id, limits->coldPerSecond * m_bounds.coldFactor + m_bounds.coldSlack);
-        pool->changeLimits({ share.connections(limits->connections), pool->takesRequests() && *keepReady++, cold, limits->healthPath });
+        pool->changeLimits({ share.connections(limits->connections), ready, cold, limits->healthPath });
     }
 }
 
