--- a/src/coordination/member_share.cc
+++ b/src/coordination/member_share.cc
@@ -32,6 +32,7 @@
 member_share::member_share(const listed_member& self, const std::vector<listed_member>& members)
     : m_self { hashOf(self.name.value()), hashOf(self.zone.value()) }
 {
+    m_members.reserve(members.size() + 1);
     for (const auto& member : members)
         m_members.push_back({ hashOf(member.name.value()), hashOf(member.zone.value()) });
     if (std::find(m_members.begin(), m_members.end(), m_self) == m_members.end())
@@ -60,6 +61,7 @@
         return kept;
     }
     std::vector<std::uint64_t> zones;
+    zones.reserve(searchers);
     for (const auto& zone : searcherZones)
         zones.push_back(hashOf(zone.value()));
     const auto even = (m_members.size() + searchers - 1) / searchers;
--- a/test/member_share_test.cc
+++ b/test/member_share_test.cc
@@ -19,6 +19,7 @@
 std::vector<data_centre_id> makeZones(const std::vector<int>& numbers)
 {
     std::vector<data_centre_id> zones;
+    zones.reserve(numbers.size());
     for (const int number : numbers)
         zones.emplace_back("zone-" + std::to_string(number));
     return zones;
