--- a/include/limpetpier/coordination/gather_policy.h
+++ b/include/limpetpier/coordination/gather_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <vector>
 
 #include "limpetpier/state/clock.h"
 
@@ -48,6 +49,13 @@
     // the objective count as failed: a client that gets an error early can still be served by another process in time.
     [[nodiscard]] bool cannotSucceed(const gather_progress& progress, monotonic_time now) const;
 
+    // Returns the earliest time at which the minimum coverage can be sent. sendableFrom holds for each part the time from
+    // which one of its searchers may be sent a request; the maximum if there is none.
+    [[nodiscard]] monotonic_time coverageSendableFrom(std::vector<monotonic_time> sendableFrom) const;
+
+    // Time until which a part waits for a searcher to accept it.
+    [[nodiscard]] monotonic_time unsentDeadline() const { return m_unsentDeadline; }
+
     // Next time at which a decision may change without a further reply; maximum if there is none.
     [[nodiscard]] monotonic_time nextDecisionTime(monotonic_time now) const;
 
--- a/include/limpetpier/protocol/gateway_protocol.h
+++ b/include/limpetpier/protocol/gateway_protocol.h
@@ -8,6 +8,7 @@
 #include "limpetpier/protocol/http_message.h"
 #include "limpetpier/state/routing_table.h"
 #include "limpetpier/state/searcher_directory.h"
+#include "limpetpier/state/searcher_notice.h"
 
 namespace limpetpier {
 
@@ -70,6 +71,10 @@
     // Decodes and classifies a searcher's reply.
     [[nodiscard]] virtual searcher_reply decodeReply(http_reply reply) const = 0;
 
+    // Decodes what the searcher states about further requests in any reply, including one to a health check or to an
+    // earlier request.
+    [[nodiscard]] virtual searcher_notice decodeNotice(const http_reply& reply) const = 0;
+
     // Encodes the response to a client from a single searcher's reply.
     [[nodiscard]] virtual http_reply encodeAnswer(const client_request& request, const searcher_reply& reply) const = 0;
 
--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -50,6 +50,8 @@
     searcher_ill = 508,
     searcher_crowded = 509,
     searcher_failing = 510,
+    searcher_restricted = 511,
+    pushback_ignored = 512,
     members_changed = 208,
     table_adopted = 310,
     table_unreadable = 311,
--- a/include/limpetpier/transport/http_channel.h
+++ b/include/limpetpier/transport/http_channel.h
@@ -52,7 +52,9 @@
 
     // Sends one serialized request and passes the complete reply to the handler. A reply is complete when the body has
     // the declared length or, without a declared length, when the peer shuts the connection down. isHead tells that the
-    // method is HEAD, so that the reply has no body. An empty matcher accepts every reply.
+    // method is HEAD, so that the reply has no body. An empty matcher accepts every reply. A reply that exceeds a limit
+    // below fails the exchange and closes the connection. A connection whose peer replies before the whole request is
+    // written is closed, too.
     void exchange(std::string request, bool isHead, reply_matcher matches, reply_handler handler);
 
     // Closes the connection. The handler of a pending exchange is not called.
@@ -74,9 +76,19 @@
     // Idle limit that the peer announced in a Keep-Alive field, if any.
     [[nodiscard]] std::optional<milliseconds> idleLimit() const { return m_idleLimit; }
 
-    // Maximum size of a reply body. A larger reply fails the exchange and closes the connection.
+    // Maximum size of the header and of the body of a reply.
+    static constexpr std::uint32_t maxHeaderBytes = 16U << 10;
     static constexpr std::uint64_t maxReplyBytes = 8U << 20;
 
+    // Maximum number of bytes received in one exchange, including chunk framing and discarded replies.
+    static constexpr std::uint64_t maxReceivedBytes = maxReplyBytes + (1U << 20);
+
+    // Maximum number of received bytes that wait for the rest of a line.
+    static constexpr std::size_t maxUnparsedBytes = maxHeaderBytes;
+
+    // Maximum number of interim and discarded replies in one exchange.
+    static constexpr unsigned maxSkippedReplies = 16;
+
 private:
     enum class state : std::uint8_t {
         created,
@@ -94,6 +106,7 @@
     void handleData(const char* data, std::size_t count);
     bool parse();
     void startParser();
+    void skipReply();
     void handleReply();
     void finish(exchange_result result);
     void failConnection();
@@ -105,10 +118,14 @@
     bool m_tcpKeepAlive = false;
     bool m_exchangePending = false;
     bool m_isHead = false;
+    bool m_writePending = false; // the request is not written completely
+    bool m_failAfterWrite = false; // the exchange failed, and the pending write will tell how much was written
     bool m_anyWritten = false; // at least one byte of the request
     bool m_mustClose = false; // can't be reused after this exchange, e.g. after a discarded reply
     std::string m_request;
     std::string m_unparsed; // received, not yet consumed by the parser
+    std::uint64_t m_receivedBytes = 0; // in this exchange
+    unsigned m_skippedReplies = 0; // in this exchange
     std::optional<response_parser> m_parser;
     reply_matcher m_matches;
     reply_handler m_onReply;
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -1,5 +1,6 @@
 #include "deployment_view.h"
 
+#include "limpetpier/state/errors.h"
 #include "limpetpier/transport/endpoints.h"
 #include "limpetpier/transport/events.h"
 
@@ -24,6 +25,17 @@
 // Step through the list of peers; coprime to most list sizes, so that each peer gets its turn.
 constexpr std::size_t peerStride = 31;
 
+// Longest cold time that an entry can state.
+constexpr milliseconds maxColdTime = std::chrono::hours(24 * 365 * 10);
+
+// Throws if an entry can't be used, whether it comes from the store or from a peer.
+void checkEntry(const searcher_entry& entry)
+{
+    static_cast<void>(parseTcpEndpoint(entry.address));
+    if (entry.slots == 0 || entry.coldTimeLeft < milliseconds(0) || entry.coldTimeLeft > maxColdTime)
+        throw document_error("searchers", entry.id.value(), "slots or a cold time out of range", "at least 1 slot and a cold time of at most ten years", "the entry is ignored");
+}
+
 // Time after the start at which the member list counts as complete even if it still changes.
 constexpr milliseconds maxSettleTime { 2500 };
 
@@ -128,7 +140,7 @@
 {
     try {
         auto entry = m_protocol.decodeSearcher(item.key, item.value);
-        static_cast<void>(parseTcpEndpoint(entry.address));
+        checkEntry(entry);
         return entry;
     } catch (const std::exception& error) {
         logEvent(event::entry_unreadable, event_fields().add("key", item.key).add("error", error.what()));
@@ -222,8 +234,15 @@
     adoptTable(view.tableText);
     m_evacuatedZones = { view.evacuatedZones.begin(), view.evacuatedZones.end() };
     std::vector<searcher_entry> entries;
-    for (const auto& searcher : view.searchers)
-        entries.push_back({ searcher.id, searcher.service, searcher.address, searcher.zone, searcher.slots, searcher.draining, milliseconds(searcher.coldTimeLeftMs), searcher.startTimeMs });
+    for (const auto& searcher : view.searchers) {
+        try {
+            searcher_entry entry { searcher.id, searcher.service, searcher.address, searcher.zone, searcher.slots, searcher.draining, milliseconds(searcher.coldTimeLeftMs), searcher.startTimeMs };
+            checkEntry(entry);
+            entries.push_back(std::move(entry));
+        } catch (const limpet_error& error) {
+            logEvent(event::entry_unreadable, event_fields().add("key", searcher.id.value()).add("error", error.what()));
+        }
+    }
     m_changes.searchers.merge(m_directory.replaceAll(entries, now, false));
     m_membership.clear();
     for (std::size_t index = 0; index < view.members.size(); ++index)
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -164,7 +164,8 @@
 // gateways should get the requests then.
 bool gateway::isIsolated() const
 {
-    return !m_view.isReachable() && monotonic_clock::now() - m_view.lastStoreContact() > maxStoreSilence && !m_fleet.canServe(*m_view.table());
+    const auto now = monotonic_clock::now();
+    return !m_view.isReachable() && now - m_view.lastStoreContact() > maxStoreSilence && !m_fleet.canServe(*m_view.table(), now);
 }
 
 void gateway::report(const request_report& ended)
--- a/programs/gateway/gateway_request_handler.cc
+++ b/programs/gateway/gateway_request_handler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "limpetpier/coordination/return_delay.h"
 #include "limpetpier/transport/events.h"
 
 namespace limpetpier {
@@ -80,10 +81,10 @@
     return finish(m_context.protocol.encodeFailure(status, message, {}), outcome);
 }
 
-bool gateway_request_handler::finishNotExecuted(const char* outcome, const std::string& message)
+bool gateway_request_handler::finishNotExecuted(const char* outcome, const std::string& message, monotonic_time expectedReturn)
 {
     constexpr unsigned statusUnavailable = 503;
-    return finish(m_context.protocol.encodeFailure(statusUnavailable, message, retryAfterRefusal), outcome);
+    return finish(m_context.protocol.encodeFailure(statusUnavailable, message, returnDelay(expectedReturn, monotonic_clock::now())), outcome);
 }
 
 void gateway_request_handler::recordResend(const service_id& service, const searcher_id& searcher, const char* why, microseconds waited)
--- a/programs/gateway/gateway_request_handler.h
+++ b/programs/gateway/gateway_request_handler.h
@@ -20,8 +20,9 @@
     // Ends the request with an error after which a searcher may have executed it. Returns like finish().
     bool finishPossiblyExecuted(unsigned status, const char* outcome, const std::string& message);
 
-    // Ends the request with status 503 and a Retry-After time: no searcher has executed it. Returns like finish().
-    bool finishNotExecuted(const char* outcome, const std::string& message);
+    // Ends the request with status 503 and a Retry-After time: no searcher has executed it. expectedReturn is when
+    // searchers are expected to accept the request; the maximum if unknown. Returns like finish().
+    bool finishNotExecuted(const char* outcome, const std::string& message, monotonic_time expectedReturn);
 
     // Ends the request without an answer because the client disconnected. No effect if the request has ended already.
     void finishClientDisconnected();
@@ -64,9 +65,6 @@
 // The same after the client disconnected. Shorter, because nobody receives the answer.
 constexpr milliseconds abandonedCallGrace { 150 };
 
-// Time after which a client may retry a request that no searcher executed.
-constexpr milliseconds retryAfterRefusal { 5 };
-
 // A request that no searcher could accept is rejected after this fraction (1/n) of its latency objective.
 constexpr int refusalObjectiveDivisor = 5;
 
--- a/programs/gateway/query_handler.cc
+++ b/programs/gateway/query_handler.cc
@@ -31,10 +31,16 @@
                 self->handleClientDisconnect();
         });
         m_self = shared_from_this();
+        const auto coverageFrom = coverageSendableFrom();
+        if (coverageFrom > m_policy.unsentDeadline()) {
+            refuse(coverageFrom);
+            return;
+        }
         for (std::size_t index = 0; index < m_parts.size() && !isFinished(); ++index) {
             const auto now = monotonic_clock::now(); // read for each part: on a slow machine the last one is sent much later than the first
             m_context.fleet.retryBudget(m_parts[index].service).recordRequest(now);
-            sendPart(index, now, "first");
+            if (!sendPart(index, now, "first") && !canStillBeSent(m_parts[index], now))
+                m_parts[index].state = part_state::failed;
         }
         answerOrWait();
     }
@@ -58,6 +64,28 @@
         searcher_reply reply;
     };
 
+    // Returns whether a searcher that was not tried may accept the part before the policy counts it as failed.
+    [[nodiscard]] bool canStillBeSent(const part& part, monotonic_time now) const { return m_context.fleet.sendableFrom(part.service, part.triedSearchers, now) <= std::max<monotonic_time>(now, m_policy.unsentDeadline()); }
+
+    // Returns when enough shards are expected to accept the query for its minimum coverage.
+    [[nodiscard]] monotonic_time coverageSendableFrom() const
+    {
+        const auto now = monotonic_clock::now();
+        std::vector<monotonic_time> sendableFrom;
+        for (const auto& part : m_parts)
+            sendableFrom.push_back(m_context.fleet.sendableFrom(part.service, {}, now));
+        return m_policy.coverageSendableFrom(std::move(sendableFrom));
+    }
+
+    // Ends the query before anything was sent.
+    void refuse(monotonic_time expectedReturn)
+    {
+        m_report.missingParts = m_parts.size();
+        logMissingParts(event::part_failed);
+        finishNotExecuted("too_few_shards", "too few shards accept requests at present, so the query was not executed; retry it", expectedReturn);
+        m_self.reset();
+    }
+
     bool sendPart(std::size_t index, monotonic_time now, const char* why)
     {
         auto& part = m_parts[index];
@@ -135,11 +163,12 @@
     {
         auto& part = m_parts[index];
         part.state = part_state::waiting;
-        if (part.possibleExecutions >= m_request.matchedRoute->maxAttempts || !m_context.fleet.hasAlternative(part.service, part.triedSearchers)) {
+        const auto now = monotonic_clock::now();
+        if (part.possibleExecutions >= m_request.matchedRoute->maxAttempts || !canStillBeSent(part, now)) {
             part.state = part_state::failed;
             return false;
         }
-        return sendPart(index, monotonic_clock::now(), "refused_or_broken");
+        return sendPart(index, now, "refused_or_broken");
     }
 
     [[nodiscard]] gather_progress progress() const
@@ -206,7 +235,7 @@
         const auto hedgeDelay = m_request.statistics->hedgeDelay(*m_request.matchedRoute);
         for (std::size_t index = 0; index < m_parts.size() && !isFinished(); ++index) {
             auto& part = m_parts[index];
-            if (part.state == part_state::waiting && !sendPart(index, now, "searcher_back") && !m_context.fleet.hasAlternative(part.service, part.triedSearchers))
+            if (part.state == part_state::waiting && !sendPart(index, now, "searcher_back") && !canStillBeSent(part, now))
                 part.state = part_state::failed;
             else if (canHedge(part) && now >= part.firstSentAt + hedgeDelay && sendPart(index, now, "late"))
                 ++m_report.hedges;
@@ -241,7 +270,7 @@
         logMissingParts(event::part_failed);
         const bool mayHaveBeenExecuted = std::any_of(m_parts.begin(), m_parts.end(), [](const auto& part) { return part.possibleExecutions > 0; });
         if (!mayHaveBeenExecuted)
-            finishNotExecuted("no_searcher", "no searcher accepted the query, so it was not executed; retry it");
+            finishNotExecuted("no_searcher", "no searcher accepted the query, so it was not executed; retry it", coverageSendableFrom());
         else if (now >= m_request.deadline)
             finishPossiblyExecuted(statusGatewayTimeout, "short_of_coverage", "too few shards replied before the deadline; the query may be retried");
         else
--- a/programs/gateway/searcher_connection_pool.cc
+++ b/programs/gateway/searcher_connection_pool.cc
@@ -77,6 +77,8 @@
     m_entry = entry;
     m_coldUntil = coldUntil;
     if (restarted) {
+        ++m_incarnation;
+        m_restriction.reset();
         closeIdleConnections();
         m_verified = true; // the new entry states how long it is cold
         m_reconnectAt = {};
@@ -100,7 +102,7 @@
 
 bool searcher_connection_pool::isUsable(monotonic_time now)
 {
-    if (!acceptsRequests() || !m_verified || m_limits.connections == 0)
+    if (!isReachable(now))
         return false;
     if (now < m_coldUntil && !m_coldRequests.allows(now))
         return false;
@@ -109,6 +111,14 @@
     return now >= m_reconnectAt && m_queue.size() < m_limits.connections * maxQueuedCallsPerConnection && (m_connections.size() < m_limits.connections || connectingCount() > m_queue.size());
 }
 
+monotonic_time searcher_connection_pool::sendableFrom(monotonic_time now) const
+{
+    if (!acceptsRequests())
+        return monotonic_time::max();
+    const auto allowedFrom = std::max(now, m_restriction.sendableFrom());
+    return m_connections.empty() ? std::max(allowedFrom, m_reconnectAt) : allowedFrom;
+}
+
 double searcher_connection_pool::expectedCost(monotonic_time now) const
 {
     const double age = std::chrono::duration<double>(now - m_relativeLatencyAt) / std::chrono::duration<double>(latencyDecayTime);
@@ -161,8 +171,9 @@
             m_queue.pop_front();
             continue;
         }
-        // Checked again right before the write: the searcher may have started to drain while the call was queued.
-        if (!acceptsRequests() || !m_verified) {
+        // Checked again right before the write: the searcher may have started to drain or pushed back while the call was
+        // queued.
+        if (!acceptsRequests() || !m_verified || !m_restriction.allowsSend(now)) {
             failQueuedCalls();
             return;
         }
@@ -195,7 +206,12 @@
     const auto request = call->request;
     idle->channel->exchange(
         m_protocol.encodeCall(*request, m_entry.id, timeLeft), request->message.method == "HEAD",
-        [this, alive = m_alive, request](const http_reply& reply) { return !*alive || m_protocol.isReplyTo(*request, reply); },
+        [this, alive = m_alive, request, idle](const http_reply& reply) {
+            if (!*alive || m_protocol.isReplyTo(*request, reply))
+                return true;
+            applyNotice(*idle, reply); // an earlier request's reply is discarded, but its notice still counts
+            return false;
+        },
         [this, alive = m_alive, idle, call](exchange_result result) {
             if (*alive)
                 handleReply(idle, call, std::move(result));
@@ -207,6 +223,8 @@
     used->call.reset();
     used->closeAt.reset();
     used->idleSince = monotonic_clock::now();
+    if (used->incarnation != m_incarnation)
+        used->channel->close(); // reached the searcher before its restart
     if (const auto limit = used->channel->idleLimit())
         m_idleLimit = limit;
     if (!used->channel->isOpen() && result.stage == exchange_stage::replied)
@@ -217,6 +235,8 @@
         std::rotate(std::find(m_connections.begin(), m_connections.end(), used), std::find(m_connections.begin(), m_connections.end(), used) + 1, m_connections.end());
     if (result.stage != exchange_stage::replied)
         handleConnectionFailure();
+    else
+        applyNotice(*used, result.reply);
     const bool isAwaited = !std::exchange(call->finished, true);
     call_result outcome;
     outcome.stage = result.stage;
@@ -236,6 +256,22 @@
         call->onResult(std::move(outcome));
 }
 
+void searcher_connection_pool::applyNotice(const pooled_connection& from, const http_reply& reply)
+{
+    if (from.incarnation != m_incarnation)
+        return;
+    const auto now = monotonic_clock::now();
+    const auto notice = m_protocol.decodeNotice(reply);
+    if (!notice.invalidPushback.empty())
+        logEvent(event::pushback_ignored, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("found", notice.invalidPushback));
+    if (!m_restriction.apply(notice, now))
+        return;
+    if (isLogged(event::searcher_restricted))
+        logEvent(event::searcher_restricted, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("leaving", m_restriction.isLeaving() ? "yes" : "no").add("pushback_ms", notice.pushback.value_or(milliseconds(0))));
+    if (m_restriction.isLeaving())
+        closeIdleConnections();
+}
+
 void searcher_connection_pool::recordOutcome(bool failed, monotonic_time now)
 {
     m_failures.record(failed, now);
@@ -266,6 +302,7 @@
     auto opened = std::make_shared<pooled_connection>();
     opened->channel = http_channel::create(m_executor, parseTcpEndpoint(m_entry.address));
     opened->verifying = !m_verified;
+    opened->incarnation = m_incarnation;
     m_connections.insert(m_connections.begin(), opened);
     opened->channel->onClosed([this, alive = m_alive, weak = std::weak_ptr(opened)] {
         const auto closed = weak.lock();
@@ -286,7 +323,9 @@
         return;
     }
     opened->idleSince = monotonic_clock::now();
-    if (!m_verified)
+    if (!m_restriction.allowsSend(opened->idleSince))
+        failQueuedCalls(); // the searcher pushed back or left while the connection was being opened
+    else if (!m_verified)
         verify(opened);
     else
         sendQueuedCalls();
@@ -314,6 +353,8 @@
     }
     opened->used = true;
     const auto report = m_protocol.decodeHealth(result.reply);
+    if (report.searcher == m_entry.id)
+        applyNotice(*opened, result.reply);
     // An unhealthy searcher is checked again: it may be shutting down, or its health check may be wrong.
     const bool isUnhealthy = !report.healthy && ++m_unhealthyReplies < maxUnhealthyReplies;
     if (report.searcher != m_entry.id || isUnhealthy) {
@@ -434,7 +475,7 @@
             handleConnectionFailure();
     }
     const bool needsConnection = !m_verified || (m_limits.keepReady && now - m_lastSentAt < keepReadyDuration);
-    if (!m_connections.empty() || !acceptsRequests() || m_limits.connections == 0 || now < m_reconnectAt || !needsConnection)
+    if (!m_connections.empty() || !acceptsRequests() || !m_restriction.allowsSend(now) || m_limits.connections == 0 || now < m_reconnectAt || !needsConnection)
         return false;
     openConnection();
     return true;
--- a/programs/gateway/searcher_connection_pool.h
+++ b/programs/gateway/searcher_connection_pool.h
@@ -6,6 +6,7 @@
 
 #include "limpetpier/coordination/cold_allowance.h"
 #include "limpetpier/coordination/failure_record.h"
+#include "limpetpier/coordination/send_restriction.h"
 #include "limpetpier/transport/http_channel.h"
 #include "searcher_call.h"
 
@@ -29,7 +30,8 @@
     searcher_connection_pool& operator=(const searcher_connection_pool&) = delete;
 
     // Applies the searcher's current directory entry. Closes idle connections if the searcher restarted, changed its
-    // address or is draining. Until coldUntil, requests are limited to the cold rate.
+    // address or is draining; notices from before a restart no longer apply. Until coldUntil, requests are limited to the
+    // cold rate.
     void update(const searcher_entry& entry, monotonic_time coldUntil);
 
     // Replaces the limits. Surplus connections are closed by maintain() once they are idle.
@@ -41,14 +43,23 @@
     [[nodiscard]] const searcher_entry& entry() const { return m_entry; }
     [[nodiscard]] const searcher_limits& limits() const { return m_limits; }
 
-    // Returns false while the searcher is draining or its zone is being evacuated.
-    [[nodiscard]] bool acceptsRequests() const { return !m_entry.draining && !m_evacuated; }
+    // Returns false while the searcher is draining, after it announced that it leaves, and while its zone is being
+    // evacuated.
+    [[nodiscard]] bool acceptsRequests() const { return !m_entry.draining && !m_evacuated && !m_restriction.isLeaving(); }
+
+    // Returns the earliest time at which the searcher may be sent a request, considering its notices and failed
+    // connections: now, a later time, or the maximum if it does not accept requests.
+    [[nodiscard]] monotonic_time sendableFrom(monotonic_time now) const;
+
+    // What the searcher stated about further requests. Kept by the owner if the searcher's entry is missing for a while.
+    [[nodiscard]] const send_restriction& restriction() const { return m_restriction; }
+    void restore(const send_restriction& restriction) { m_restriction = restriction; }
 
     // Returns true if a request may be sent or queued now.
     [[nodiscard]] bool isUsable(monotonic_time now);
 
-    // Returns true if the searcher accepts requests and is verified, even if all connections are busy now.
-    [[nodiscard]] bool isReachable() const { return acceptsRequests() && m_verified && m_limits.connections > 0; }
+    // Returns true if the searcher accepts requests now and is verified, even if all connections are busy.
+    [[nodiscard]] bool isReachable(monotonic_time now) const { return acceptsRequests() && m_verified && m_limits.connections > 0 && m_restriction.allowsSend(now); }
 
     // Returns the expected cost of a send to this searcher, in multiples of the median reply time.
     [[nodiscard]] double expectedCost(monotonic_time now) const;
@@ -79,6 +90,7 @@
         call_handle call; // running on this connection; null if none
         bool verifying = false; // opened for a health check that has not ended
         bool used = false; // has carried a request or a completed health check
+        std::uint64_t incarnation = 0; // of the searcher when the connection was opened
         monotonic_time idleSince {};
         std::optional<monotonic_time> closeAt; // time limit of a cancelled call or a health check
     };
@@ -92,6 +104,7 @@
     void sendQueuedCalls();
     void writeCall(const pooled_connection_ptr& idle, const call_handle& call);
     void handleReply(const pooled_connection_ptr& used, const call_handle& call, exchange_result result);
+    void applyNotice(const pooled_connection& from, const http_reply& reply);
     void recordOutcome(bool failed, monotonic_time now);
     void handleClosedConnection(const pooled_connection_ptr& closed);
     void handleConnectionFailure();
@@ -109,6 +122,8 @@
     monotonic_time m_coldUntil {};
     cold_allowance m_coldRequests;
     searcher_limits m_limits;
+    send_restriction m_restriction;
+    std::uint64_t m_incarnation = 0; // incremented when the searcher restarts
     bool m_evacuated = false;
     bool m_verified = true;
     std::uint32_t m_unhealthyReplies = 0; // in a row
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -16,6 +16,12 @@
 // milliseconds, and all processes may start at the same time.
 constexpr std::uint32_t maxOpenedPerRound = 24;
 
+// Time for which the restriction of a searcher without an entry is kept.
+constexpr milliseconds formerRestrictionRetention = send_restriction::maxPushback;
+
+// Returns whether two entries with the same id describe the same start of the searcher.
+bool isSameStart(const searcher_entry& left, const searcher_entry& right) { return left.startTimeMs == right.startTimeMs && left.address == right.address; }
+
 } // namespace
 
 searcher_fleet::searcher_fleet(asio::any_io_executor executor, const gateway_protocol& protocol, data_centre_id ownZone, deployment_limits limits)
@@ -66,6 +72,7 @@
         logEvent(event::searcher_listed, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("address", entry.address).add("zone", entry.zone.value()).add("state", entry.draining ? "draining" : "ready").add("cold_ms", entry.coldTimeLeft).add("born", entry.startTimeMs));
     if (!pool) {
         pool = std::make_unique<searcher_connection_pool>(m_executor, m_protocol, entry);
+        restoreRestriction(*pool);
         m_maintenanceOrder.push_back(pool.get());
         auto& pools = m_poolsByService[entry.service];
         const auto position = std::lower_bound(pools.begin(), pools.end(), entry.id, [](const searcher_connection_pool* other, const searcher_id& id) { return other->entry().id < id; });
@@ -93,6 +100,28 @@
     m_pools.erase(found);
 }
 
+// Applies what the searcher stated before its entry was removed, if this is still the same start of it.
+void searcher_fleet::restoreRestriction(searcher_connection_pool& pool) const
+{
+    const auto& entry = pool.entry();
+    if (const auto former = m_formerRestrictions.find(entry.id); former != m_formerRestrictions.end() && isSameStart(former->second.entry, entry))
+        pool.restore(former->second.restriction);
+    for (const auto& removed : m_removedPools) {
+        if (removed->entry().id == entry.id && isSameStart(removed->entry(), entry))
+            pool.restore(removed->restriction());
+    }
+}
+
+void searcher_fleet::deleteRemovedPools(monotonic_time now)
+{
+    for (const auto& pool : m_removedPools) {
+        if (pool->runningCalls() == 0 && !pool->restriction().allowsSend(now))
+            m_formerRestrictions.insert_or_assign(pool->entry().id, former_restriction { pool->entry(), pool->restriction(), now });
+    }
+    std::erase_if(m_removedPools, [](const auto& pool) { return pool->runningCalls() == 0; });
+    std::erase_if(m_formerRestrictions, [&](const auto& item) { return now - item.second.deletedAt > formerRestrictionRetention; });
+}
+
 void searcher_fleet::updateLimits(const service_id& service, const routing_table& table, const member_share& share)
 {
     const auto found = m_poolsByService.find(service);
@@ -137,26 +166,31 @@
     return best;
 }
 
-bool searcher_fleet::hasAlternative(const service_id& service, const std::vector<searcher_id>& excluded) const
+monotonic_time searcher_fleet::sendableFrom(const service_id& service, const std::vector<searcher_id>& excluded, monotonic_time now) const
 {
+    auto earliest = monotonic_time::max();
     const auto found = m_poolsByService.find(service);
-    return found != m_poolsByService.end() && std::any_of(found->second.begin(), found->second.end(), [&](const searcher_connection_pool* pool) {
-        return !pool->entry().draining && std::find(excluded.begin(), excluded.end(), pool->entry().id) == excluded.end();
-    });
+    if (found == m_poolsByService.end())
+        return earliest;
+    for (const auto* pool : found->second) {
+        if (std::find(excluded.begin(), excluded.end(), pool->entry().id) == excluded.end())
+            earliest = std::min(earliest, pool->sendableFrom(now));
+    }
+    return earliest;
 }
 
-bool searcher_fleet::isReachable(const service_id& service) const
+bool searcher_fleet::isReachable(const service_id& service, monotonic_time now) const
 {
     const auto found = m_poolsByService.find(service);
-    return found != m_poolsByService.end() && std::any_of(found->second.begin(), found->second.end(), [](const searcher_connection_pool* pool) { return pool->isReachable(); });
+    return found != m_poolsByService.end() && std::any_of(found->second.begin(), found->second.end(), [&](const searcher_connection_pool* pool) { return pool->isReachable(now); });
 }
 
-bool searcher_fleet::canServe(const routing_table& table) const
+bool searcher_fleet::canServe(const routing_table& table, monotonic_time now) const
 {
     return std::all_of(table.routes().begin(), table.routes().end(), [&](const route& rule) {
         if (!rule.isQuery())
-            return std::all_of(rule.trafficSplit.begin(), rule.trafficSplit.end(), [&](const weighted_service& part) { return isReachable(part.service); });
-        const auto reachable = std::count_if(rule.shards.begin(), rule.shards.end(), [&](const service_id& shard) { return isReachable(shard); });
+            return std::all_of(rule.trafficSplit.begin(), rule.trafficSplit.end(), [&](const weighted_service& part) { return isReachable(part.service, now); });
+        const auto reachable = std::count_if(rule.shards.begin(), rule.shards.end(), [&](const service_id& shard) { return isReachable(shard, now); });
         return static_cast<double>(reachable) >= rule.minCoverage * static_cast<double>(rule.shards.size());
     });
 }
@@ -207,7 +241,7 @@
     }
     for (const auto& pool : m_removedPools)
         pool->maintain(now);
-    std::erase_if(m_removedPools, [](const auto& pool) { return pool->runningCalls() == 0; });
+    deleteRemovedPools(now);
 }
 
 searcher_fleet::totals searcher_fleet::countTotals(monotonic_time now)
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -41,15 +41,16 @@
     // excluded are skipped.
     searcher_connection_pool* chooseSearcher(const service_id& service, const std::vector<searcher_id>& excluded, monotonic_time now);
 
-    // Returns true if the service has a searcher that is neither excluded nor draining, whether usable now or not.
-    [[nodiscard]] bool hasAlternative(const service_id& service, const std::vector<searcher_id>& excluded) const;
+    // Returns the earliest time at which a searcher of the service that is not excluded may be sent a request, even if
+    // its connections are busy now; the maximum if there is none.
+    [[nodiscard]] monotonic_time sendableFrom(const service_id& service, const std::vector<searcher_id>& excluded, monotonic_time now) const;
 
     // Returns true if any searcher of the service is reachable.
-    [[nodiscard]] bool isReachable(const service_id& service) const;
+    [[nodiscard]] bool isReachable(const service_id& service, monotonic_time now) const;
 
     // Returns true if this process can serve every route of the table: each service of a single-searcher route must be
     // reachable, and enough shards of a query for its minimum coverage.
-    [[nodiscard]] bool canServe(const routing_table& table) const;
+    [[nodiscard]] bool canServe(const routing_table& table, monotonic_time now) const;
 
     // Returns the pool of a searcher; null if the searcher is not listed and has no running calls.
     searcher_connection_pool* find(const searcher_id& searcher);
@@ -83,6 +84,8 @@
 private:
     void addOrUpdate(const searcher_directory::record& record);
     void remove(const searcher_id& searcher);
+    void restoreRestriction(searcher_connection_pool& pool) const;
+    void deleteRemovedPools(monotonic_time now);
     void updateLimits(const service_id& service, const routing_table& table, const member_share& share);
 
     asio::any_io_executor m_executor;
@@ -97,6 +100,14 @@
     std::map<service_id, std::vector<searcher_connection_pool*>> m_poolsByService; // each ordered by searcher id
     std::map<service_id, retry_allowance> m_retryBudgets;
     std::vector<std::unique_ptr<searcher_connection_pool>> m_removedPools; // no longer listed; calls may be running
+
+    // What a deleted searcher stated, in case its entry appears again.
+    struct former_restriction {
+        searcher_entry entry;
+        send_restriction restriction;
+        monotonic_time deletedAt;
+    };
+    std::map<searcher_id, former_restriction> m_formerRestrictions;
 };
 
 } // namespace limpetpier
--- a/programs/gateway/single_searcher_handler.cc
+++ b/programs/gateway/single_searcher_handler.cc
@@ -43,7 +43,7 @@
             return;
         }
         const bool sent = trySend(now, "refused_or_broken");
-        if (!sent && m_runningCalls.empty() && (!m_context.fleet.hasAlternative(m_service, m_triedSearchers) || now >= refusalDeadline()))
+        if (!sent && m_runningCalls.empty() && (now >= refusalDeadline() || m_context.fleet.sendableFrom(m_service, m_triedSearchers, now) > refusalDeadline()))
             finishWithoutResult();
         else
             scheduleTimer(now);
@@ -142,7 +142,7 @@
         }
         if (!m_runningCalls.empty())
             return; // the other call may still succeed
-        if (mayHaveBeenExecuted() && (!isSafeToRepeat() || m_possibleExecutions >= m_request.matchedRoute->maxAttempts || !m_context.fleet.hasAlternative(m_service, m_triedSearchers)))
+        if (mayHaveBeenExecuted() && (!isSafeToRepeat() || m_possibleExecutions >= m_request.matchedRoute->maxAttempts))
             finishWithoutResult();
         else
             sendOrWait();
@@ -169,7 +169,7 @@
         else if (mayHaveBeenExecuted())
             finishPossiblyExecuted(statusBadGateway, "unknown", "no searcher sent a complete reply; the request may have been executed");
         else
-            finishNotExecuted("no_searcher", "no searcher accepted the request, so it was not executed; retry it");
+            finishNotExecuted("no_searcher", "no searcher accepted the request, so it was not executed; retry it", expectedReturn());
         cancelRunningCalls(supersededCallGrace);
     }
 
@@ -180,10 +180,13 @@
         if (m_failureReply || (mayHaveBeenExecuted() && (written || m_runningCalls.empty())))
             m_failureReply ? finishWithoutResult() : static_cast<void>(finishPossiblyExecuted(statusGatewayTimeout, "timeout", "no searcher replied before the deadline; the request may have been executed"));
         else
-            finishNotExecuted("timeout_unsent", "no searcher accepted the request before the deadline, so it was not executed");
+            finishNotExecuted("timeout_unsent", "no searcher accepted the request before the deadline, so it was not executed", expectedReturn());
         cancelRunningCalls(supersededCallGrace);
     }
 
+    // Returns when a searcher of the service is expected to accept requests again.
+    [[nodiscard]] monotonic_time expectedReturn() const { return m_context.fleet.sendableFrom(m_service, {}, monotonic_clock::now()); }
+
     void handleClientDisconnect()
     {
         finishClientDisconnected();
--- a/src/coordination/gather_policy.cc
+++ b/src/coordination/gather_policy.cc
@@ -1,5 +1,6 @@
 #include "limpetpier/coordination/gather_policy.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace limpetpier {
@@ -39,6 +40,15 @@
     return m_parts - failed < m_minimumParts;
 }
 
+monotonic_time gather_policy::coverageSendableFrom(std::vector<monotonic_time> sendableFrom) const
+{
+    if (m_minimumParts > sendableFrom.size())
+        return monotonic_time::max();
+    const auto decisive = sendableFrom.begin() + static_cast<std::ptrdiff_t>(m_minimumParts) - 1;
+    std::nth_element(sendableFrom.begin(), decisive, sendableFrom.end());
+    return *decisive;
+}
+
 monotonic_time gather_policy::nextDecisionTime(monotonic_time now) const
 {
     if (now < m_unsentDeadline)
--- a/src/transport/endpoints.cc
+++ b/src/transport/endpoints.cc
@@ -16,7 +16,7 @@
     const auto host = asio::ip::make_address(address.substr(0, colon), error);
     const auto portText = address.substr(colon + 1);
     const bool isNumber = !portText.empty() && portText.size() <= 5 && portText.find_first_not_of("0123456789") == std::string::npos;
-    if (error || !isNumber || std::stoul(portText) > 65535)
+    if (error || !isNumber || std::stoul(portText) > 65535 || std::stoul(portText) == 0)
         throwInvalid();
     return { host, static_cast<unsigned short>(std::stoul(portText)) };
 }
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -1,5 +1,6 @@
 #include "limpetpier/transport/http_channel.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -19,6 +20,9 @@
 // does not meet a closing connection.
 constexpr milliseconds idleMargin { 500 };
 
+// A longer idle limit of the peer is shortened to this.
+constexpr std::int64_t maxIdleLimitSeconds = 3600;
+
 // TCP keep-alive: idle time before the first probe, interval of probes, and unanswered probes until the connection is
 // aborted.
 constexpr int keepAliveIdleSeconds = 1;
@@ -99,6 +103,8 @@
     m_exchangePending = true;
     m_isHead = isHead;
     m_anyWritten = false;
+    m_receivedBytes = 0;
+    m_skippedReplies = 0;
     m_matches = std::move(matches);
     m_onReply = std::move(handler);
     m_request = std::move(request);
@@ -108,9 +114,11 @@
 
 void http_channel::write()
 {
+    m_writePending = true;
     asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](const beast::error_code& error, std::size_t written) {
+        self->m_writePending = false;
         self->m_anyWritten = self->m_anyWritten || written > 0;
-        if (error && self->m_state == state::open)
+        if (self->m_failAfterWrite || (error && self->m_state == state::open))
             self->failConnection();
     });
 }
@@ -147,8 +155,11 @@
         return;
     }
     m_unparsed.append(data, count);
+    m_receivedBytes += count;
     while (m_state == state::open && m_exchangePending && !m_unparsed.empty() && parse())
         handleReply();
+    if (m_state == state::open && m_exchangePending && (m_unparsed.size() > maxUnparsedBytes || m_receivedBytes > maxReceivedBytes))
+        failConnection();
 }
 
 // Parses received data. True if a reply is complete.
@@ -169,15 +180,25 @@
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->skip(m_isHead);
+    m_parser->header_limit(maxHeaderBytes);
     m_parser->body_limit(maxReplyBytes);
 }
 
+// Continues with the next reply after an interim or discarded one.
+void http_channel::skipReply()
+{
+    if (++m_skippedReplies > maxSkippedReplies)
+        failConnection();
+    else
+        startParser();
+}
+
 void http_channel::handleReply()
 {
     const bool keepAlive = m_parser->keep_alive();
     auto message = m_parser->release();
     if (message.result_int() < firstFinalStatus) {
-        startParser();
+        skipReply();
         return;
     }
     exchange_result result;
@@ -189,16 +210,16 @@
     if (m_matches && !m_matches(result.reply)) {
         m_mustClose = true; // a reply to an earlier request, the reply to this one may follow
         if (keepAlive)
-            startParser();
+            skipReply();
         else
             failConnection();
         return;
     }
     if (const auto seconds = parseKeepAliveTimeout(result.reply.field("Keep-Alive")))
-        m_idleLimit = std::chrono::seconds(*seconds);
+        m_idleLimit = std::chrono::seconds(std::clamp<std::int64_t>(*seconds, 0, maxIdleLimitSeconds));
     if (m_idleLimit)
         m_usableUntil = monotonic_clock::now() + *m_idleLimit - idleMargin;
-    if (!keepAlive || m_mustClose || !m_unparsed.empty()) {
+    if (!keepAlive || m_mustClose || m_writePending || !m_unparsed.empty()) {
         m_state = state::closed;
         beast::error_code ignored;
         m_socket.close(ignored);
@@ -227,6 +248,9 @@
     m_state = state::closed;
     beast::error_code ignored;
     m_socket.close(ignored);
+    m_failAfterWrite = m_writePending && m_exchangePending;
+    if (m_failAfterWrite)
+        return; // the closed socket ends the write, whose handler knows whether any byte was written
     exchange_result result;
     result.stage = m_anyWritten ? exchange_stage::no_reply : exchange_stage::not_written;
     finish(std::move(result));
@@ -234,11 +258,11 @@
 
 void http_channel::close()
 {
+    m_onReply = nullptr;
+    m_onClosed = nullptr;
     if (m_state == state::closed)
         return;
     m_state = state::closed;
-    m_onReply = nullptr;
-    m_onClosed = nullptr;
     m_openTimer.cancel();
     beast::error_code ignored;
     m_socket.close(ignored);
--- a/test/gateway_request_test.cc
+++ b/test/gateway_request_test.cc
@@ -178,3 +178,37 @@
         fixture.sendRequest("/safe/x", "id" + std::to_string(request));
     CHECK(fixture.searchers["a1"]->arrivals() - arrivalsBefore <= 3);
 }
+
+TEST_CASE("A request is refused at once while every searcher of its service pushes back")
+{
+    request_fixture fixture;
+    fixture.setAllBehaviours(searcher_behaviour::shedding);
+    fixture.searchers["a1"]->setRetryAfter("2");
+    fixture.searchers["a2"]->setRetryAfter("5");
+    fixture.sendRequest("/safe/x", "id1");
+    fixture.sendRequest("/safe/x", "id2");
+    const auto arrivals = fixture.searchers["a1"]->arrivals() + fixture.searchers["a2"]->arrivals();
+    const auto answer = fixture.sendRequest("/unsafe/x", "id3", "POST");
+    CHECK(answer.reply.status == 503);
+    CHECK(answer.elapsed < milliseconds(18));
+    const auto returnTime = std::stod(answer.reply.field("Retry-After")); // the earlier of the two ends
+    CHECK(returnTime > 1);
+    CHECK(returnTime <= 2);
+    CHECK(fixture.searchers["a1"]->arrivals() + fixture.searchers["a2"]->arrivals() == arrivals);
+}
+
+TEST_CASE("A reply that ends in its head is never forwarded as a success")
+{
+    request_fixture fixture;
+    const std::string head = GENERATE(as<std::string> {}, "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n");
+    const std::size_t length = GENERATE_COPY(std::size_t { 1 }, std::size_t { 20 }, head.size() - 1);
+    standins::raw_server truncating(fixture.io, 0, [&](const http_request&, const standins::raw_exchange_handle& exchange) { exchange->send(head.substr(0, length), true); });
+    for (const auto* id : { "a1", "a2" }) {
+        fixture.searchers[id]->advertise(truncating.address());
+        fixture.store.put(std::string("servers/") + id, fixture.searchers[id]->entry("a", "z1"));
+    }
+    fixture.runFor(milliseconds(1000));
+    const auto answer = fixture.sendRequest("/unsafe/x", "id1", "POST");
+    REQUIRE(answer.received);
+    CHECK(answer.reply.status == 502);
+}
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -325,3 +325,34 @@
     const auto calls = fixture.store.calls();
     CHECK(fixture.runUntil([&] { return fixture.store.calls() > calls; }, fixture.settings.membershipTiming.silenceTimeout + milliseconds(200)));
 }
+
+TEST_CASE("An invalid entry of another writer affects no other entry")
+{
+    view_fixture fixture;
+    const auto invalidValue = GENERATE(as<std::string> {},
+        std::string(100'000, '['),
+        R"({"service":"a","address":"127.0.0.1:0","zone":"z1","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"seq":1})",
+        R"({"service":"a","address":"127.0.0.1:70000","zone":"z1","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"seq":1})",
+        R"({"service":"a","address":"127.0.0.1:99999999999","zone":"z1","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"seq":1})",
+        R"({"service":"a","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":1000000000000000000,"state":"ready","coldLeftMs":0,"seq":1})",
+        R"({"service":"a","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":2,"state":"ready","coldLeftMs":1e300,"seq":1})",
+        R"({"service":"a","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":2,"state":"ready","coldLeftMs":1000000000000000000,"seq":1})",
+        R"({"service":"a","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":2,"state":"ready","coldLeftMs":)" + std::string(400, '9') + R"(,"seq":1})");
+    fixture.store.put("servers/odd", invalidValue);
+    fixture.runFor(propagationTime);
+    CHECK(fixture.sendRequest("/safe/x", "id1").reply.status == 200);
+
+    SECTION("and later changes are still followed")
+    {
+        fixture.writeConfiguration(6, newRoute);
+        CHECK(fixture.runUntil([&] { return fixture.sendRequest("/new/x", "id2").reply.status == 200; }));
+    }
+    SECTION("also in a configuration, which leaves the previous one in force")
+    {
+        fixture.store.put("op/config", invalidValue);
+        fixture.runFor(propagationTime);
+        CHECK(fixture.sendRequest("/safe/x", "id2").reply.status == 200);
+        fixture.writeConfiguration(6, newRoute);
+        CHECK(fixture.runUntil([&] { return fixture.sendRequest("/new/x", "id3").reply.status == 200; }));
+    }
+}
--- a/test/gather_policy_test.cc
+++ b/test/gather_policy_test.cc
@@ -81,3 +81,14 @@
     CHECK(policy.cannotSucceed({ 10, 0, 3 }, start + milliseconds(16)));
     CHECK_FALSE(policy.cannotSucceed({ 10, 0, 2 }, start + milliseconds(16)));
 }
+
+TEST_CASE("A query can be sent once enough of its parts can")
+{
+    const monotonic_time now { std::chrono::hours(1) };
+    const gather_policy policy(4, 0.75, now, milliseconds(100), {});
+    const auto never = monotonic_time::max();
+    CHECK(policy.coverageSendableFrom({ now, now, now, never }) == now);
+    CHECK(policy.coverageSendableFrom({ never, now + milliseconds(20), now, now + milliseconds(10) }) == now + milliseconds(20));
+    CHECK(policy.coverageSendableFrom({ now, never, now, never }) == never);
+    CHECK(policy.coverageSendableFrom({}) == never);
+}
--- /dev/null
+++ b/test/http_channel_test.cc
@@ -0,0 +1,138 @@
+#include "limpetpier/transport/http_channel.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+#include "standins/raw_server.h"
+
+using namespace limpetpier;
+using standins::raw_exchange_handle;
+
+namespace {
+
+// A channel to a stand-in server that answers with raw bytes.
+class channel_fixture {
+public:
+    // Sends a request and returns its result; nothing if there is none within the timeout.
+    std::optional<exchange_result> exchange(const std::string& address, std::string request, milliseconds timeout = milliseconds(4000))
+    {
+        std::optional<exchange_result> result;
+        channel = http_channel::create(io.get_executor(), parseTcpEndpoint(address));
+        channel->open(milliseconds(500), [&](bool opened) {
+            REQUIRE(opened);
+            channel->exchange(std::move(request), false, {}, [&](exchange_result outcome) { result = std::move(outcome); });
+        });
+        const auto end = monotonic_clock::now() + timeout;
+        while (!result && monotonic_clock::now() < end)
+            io.run_for(milliseconds(5));
+        wasOpenAfterwards = channel->isOpen();
+        channel->close();
+        return result;
+    }
+
+    boost::asio::io_context io { 1 };
+    std::shared_ptr<http_channel> channel;
+    bool wasOpenAfterwards = false;
+};
+
+constexpr const char* plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// What a server in trouble sends: a beginning, then the same bytes without end.
+struct endless_reply {
+    const char* description;
+    std::string beginning;
+    std::string repeated;
+};
+
+std::string repeat(const std::string& text, std::size_t count)
+{
+    std::string result;
+    for (std::size_t index = 0; index < count; ++index)
+        result += text;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("A reply without end fails the exchange, closes the connection and occupies bounded memory")
+{
+    const auto reply = GENERATE(
+        endless_reply { "no line end", "", repeat("x", 16384) },
+        endless_reply { "one header field", "HTTP/1.1 200 OK\r\nX: ", repeat("x", 16384) },
+        endless_reply { "many header fields", "HTTP/1.1 200 OK\r\n", repeat("X-Field: value\r\n", 1024) },
+        endless_reply { "body without a length", "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n", repeat("x", 65536) },
+        endless_reply { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat("4\r\nabcd\r\n", 4096) },
+        endless_reply { "interim replies", "", repeat("HTTP/1.1 102 Processing\r\n\r\n", 16) },
+        endless_reply { "one chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", repeat("x", 16384) },
+        endless_reply { "chunk extensions", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat("1;a=" + repeat("x", 4000) + "\r\nz\r\n", 16) },
+        endless_reply { "trailer fields", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", repeat("X-Field: value\r\n", 1024) });
+    INFO(reply.description);
+    channel_fixture fixture;
+    standins::raw_server server(fixture.io, 0, [&](const http_request&, const raw_exchange_handle& exchange) { exchange->sendWithoutEnd(reply.beginning, reply.repeated); });
+    const auto result = fixture.exchange(server.address(), plainRequest);
+    REQUIRE(result);
+    CHECK(result->stage == exchange_stage::no_reply);
+    CHECK_FALSE(fixture.wasOpenAfterwards);
+}
+
+TEST_CASE("A reply that ends in its head is no reply")
+{
+    const std::string head = GENERATE(as<std::string> {}, "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n", "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::size_t length = GENERATE_COPY(std::size_t { 1 }, std::size_t { 20 }, head.size() - 1);
+    channel_fixture fixture;
+    standins::raw_server server(fixture.io, 0, [&](const http_request&, const raw_exchange_handle& exchange) { exchange->send(head.substr(0, length), true); });
+    const auto result = fixture.exchange(server.address(), plainRequest);
+    REQUIRE(result);
+    CHECK(result->stage == exchange_stage::no_reply);
+}
+
+TEST_CASE("A request of which a server received the beginning is not reported as not written")
+{
+    channel_fixture fixture;
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor(fixture.io, { asio::ip::address_v4::loopback(), 0 });
+    asio::ip::tcp::socket accepted(fixture.io);
+    std::array<char, 1000> beginning {};
+    acceptor.async_accept(accepted, [&](const boost::system::error_code&) {
+        accepted.async_read_some(asio::buffer(beginning), [&](const boost::system::error_code&, std::size_t) {
+            accepted.set_option(asio::socket_base::linger(true, 0));
+            accepted.close();
+        });
+    });
+    const std::string body(64U << 20, 'x'); // more than the socket buffers hold
+    const auto result = fixture.exchange("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    REQUIRE(result);
+    CHECK(result->stage == exchange_stage::no_reply);
+}
+
+TEST_CASE("A connection whose server replies before it has read the whole request is not used again")
+{
+    channel_fixture fixture;
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor(fixture.io, { asio::ip::address_v4::loopback(), 0 });
+    asio::ip::tcp::socket accepted(fixture.io);
+    std::array<char, 1000> beginning {};
+    const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    acceptor.async_accept(accepted, [&](const boost::system::error_code&) {
+        accepted.async_read_some(asio::buffer(beginning), [&](const boost::system::error_code&, std::size_t) {
+            asio::async_write(accepted, asio::buffer(reply), [](const boost::system::error_code&, std::size_t) {});
+        });
+    });
+    const std::string body(64U << 20, 'x');
+    const auto result = fixture.exchange("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    REQUIRE(result);
+    CHECK(result->stage == exchange_stage::replied);
+    CHECK_FALSE(fixture.wasOpenAfterwards);
+}
+
+TEST_CASE("An idle limit that is out of range does not overflow")
+{
+    channel_fixture fixture;
+    const std::string timeout = GENERATE(as<std::string> {}, "9223372036854775807", "-5", "99999999999999999999999");
+    standins::raw_server server(fixture.io, 0, [&](const http_request&, const raw_exchange_handle& exchange) { exchange->send("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + timeout + "\r\nContent-Length: 0\r\n\r\n", false); });
+    REQUIRE(fixture.exchange(server.address(), plainRequest));
+    if (const auto limit = fixture.channel->idleLimit()) {
+        CHECK(*limit >= milliseconds(0));
+        CHECK(*limit <= std::chrono::hours(24));
+    }
+}
--- a/test/standins/platform_searcher.h
+++ b/test/standins/platform_searcher.h
@@ -55,6 +55,12 @@
     void setCold(int leftMs) { m_coldLeftMs = leftMs; }
     void setHealthy(bool healthy) { m_healthy = healthy; }
 
+    // Makes every response from now on, health checks included, announce that the searcher is leaving.
+    void announceLeaving() { m_leaving = true; }
+
+    // Sets the value of Retry-After in responses with 503; empty: none.
+    void setRetryAfter(std::string value) { m_retryAfter = std::move(value); }
+
     [[nodiscard]] const std::string& id() const { return m_id; }
     [[nodiscard]] std::string address() const { return m_server.address(); }
     [[nodiscard]] raw_server& server() { return m_server; }
@@ -74,6 +80,8 @@
     void answer(const http_request& request, const raw_exchange_handle& exchange);
     void reply(const http_request& request, const raw_exchange_handle& exchange);
     [[nodiscard]] std::string records(const std::string& requestId) const;
+    void rejectUnexecuted(unsigned status, http_field reason, const raw_exchange_handle& exchange) const;
+    void addNotices(http_reply& reply) const;
     [[nodiscard]] std::string createStamp(const std::string& requestId) const;
     [[nodiscard]] std::string format(unsigned status, const std::string& requestId, const std::string& body, bool withStamp, bool close = false) const;
 
@@ -88,6 +96,8 @@
     searcher_behaviour m_behaviour = searcher_behaviour::normal;
     int m_coldLeftMs = 0;
     bool m_healthy = true;
+    bool m_leaving = false;
+    std::string m_retryAfter;
     std::size_t m_arrivals = 0;
     std::size_t m_healthChecks = 0;
     std::function<void(const std::string&, const std::string&)> m_onResponseStamp;
--- a/test/standins/raw_server.cc
+++ b/test/standins/raw_server.cc
@@ -65,6 +65,17 @@
         });
     }
 
+    void sendWithoutEnd(std::string beginning, std::string repeated) override
+    {
+        auto shared = std::make_shared<std::string>(std::move(beginning));
+        asio::async_write(m_socket, asio::buffer(*shared), [self = shared_from_this(), shared, repeated = std::move(repeated)](const boost::system::error_code& error, std::size_t) {
+            if (error)
+                self->disconnect();
+            else
+                self->sendWithoutEnd(repeated, repeated);
+        });
+    }
+
     void reset() override
     {
         boost::system::error_code ignored;
--- a/test/standins/raw_server.h
+++ b/test/standins/raw_server.h
@@ -19,6 +19,9 @@
     // Sends bytes unchanged; close: closes the connection normally afterwards. Does nothing if it is closed.
     virtual void send(std::string bytes, bool close) = 0;
 
+    // Sends the beginning and then the other bytes again and again until the client closes the connection.
+    virtual void sendWithoutEnd(std::string beginning, std::string repeated) = 0;
+
     // Closes the connection with a TCP reset.
     virtual void reset() = 0;
 
