Faults found by reading: retry limits of changed settings, label escapes, status without fields, last load records, locks, expiry order

Causes: budgets in use kept the share and window of the old settings; label values of metrics were not escaped; limpetctl status threw on a status that lacks a field; limpet-load ended without flushing its records; searcher_runtime asked the agent, which locks, under its own report mutex, and the agent logged under its mutex; the idempotency table's expiry queue was out of order after a merge, so old records stayed behind younger ones.

--- a/include/limpetpier/coordination/idempotency_table.h
+++ b/include/limpetpier/coordination/idempotency_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -86,7 +86,7 @@
     void expire(wall_time now);
 
     std::unordered_map<idempotency_key, idempotency_record> m_records;
-    std::deque<std::pair<wall_time, idempotency_key>> m_expiryQueue; // lifetime starts, in insertion order
+    std::multimap<wall_time, idempotency_key> m_expiryQueue; // by the start of the lifetime
 };
 
 } // namespace limpetpier
--- a/include/limpetpier/coordination/retry_allowance.h
+++ b/include/limpetpier/coordination/retry_allowance.h
@@ -17,8 +17,8 @@
     // window: length of the sliding window.
     retry_allowance(double share, double slack, milliseconds window);
 
-    // Changes this process's part of the fixed number of extra sends.
-    void changeSlack(double slack) { m_slack = slack; }
+    // Replaces the limits. What was recorded so far still counts, in the window of the new length.
+    void changeLimits(double share, double slack, milliseconds window);
 
     // Records a request, which adds to the allowance.
     void recordRequest(monotonic_time now);
@@ -44,6 +44,7 @@
     };
     static constexpr int slicesPerWindow = 10;
 
+    static milliseconds sliceLength(milliseconds window);
     slice& currentSlice(monotonic_time now);
 
     double m_share;
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -11,6 +11,7 @@
 #include "limpetpier/transport/http.h"
 #include "limpetpier/transport/settings.h"
 #include "log_analysis.h"
+#include "node_status.h"
 
 namespace limpetpier {
 
@@ -216,7 +217,7 @@
             inForce = 0;
             for (const auto& node : nodes) {
                 const auto state = co_await statusOf(node);
-                if (state && state->at("revision").to_number<std::uint64_t>() >= revision.value())
+                if (state && state->revision >= revision.value())
                     ++inForce;
             }
             if (inForce == nodes.size())
@@ -325,7 +326,8 @@
         throw usage_error("searcher '" + name + "' is in no front; limpetctl show front.NAME lists them");
     }
 
-    awaitable<std::optional<json::value>> statusOf(std::string address)
+    // Returns the status of a node; nothing if it doesn't respond or its response isn't a status.
+    awaitable<std::optional<node_status>> statusOf(std::string address)
     {
         http_connection connection(m_io.get_executor());
         if (!co_await connection.connect(parseTcpEndpoint(address), statusTimeout))
@@ -334,7 +336,7 @@
         const auto result = co_await connection.exchange(std::move(request), statusTimeout);
         if (result.stage != exchange_stage::replied || result.reply.status != 200)
             co_return std::nullopt;
-        co_return json::parse(result.reply.body);
+        co_return readNodeStatus(result.reply.body);
     }
 
     awaitable<int> status()
@@ -348,10 +350,10 @@
                 result = exitUnavailable;
             auto text = node;
             if (state)
-                text.append(" epoch ").append(json::serialize(state->at("epoch"))).append(" revision ").append(json::serialize(state->at("revision")));
+                text.append(" epoch ").append(std::to_string(state->epoch)).append(" revision ").append(std::to_string(state->revision));
             else
-                text.append(" doesn't respond");
-            print(text, json::object { { "node", node }, { "status", state ? *state : json::value(nullptr) } });
+                text.append(" doesn't report a status");
+            print(text, json::object { { "node", node }, { "status", state ? json::value(state->document) : json::value(nullptr) } });
         }
         co_return result;
     }
--- a/programs/dispatch/cluster_agent.cc
+++ b/programs/dispatch/cluster_agent.cc
@@ -342,19 +342,22 @@
         logEvent(event::document_invalid, error.what());
         return;
     }
+    revision_decision decision;
+    revision_number inForce;
     {
         const std::lock_guard lock(m_mutex);
-        const auto decision = decideRevision(m_document->revision, offered->revision);
-        if (decision == revision_decision::same)
-            return;
-        if (decision == revision_decision::older) {
-            logEvent(event::document_older, "offered=" + number(offered->revision.value()) + " in_force=" + number(m_document->revision.value()));
-            return;
+        inForce = m_document->revision;
+        decision = decideRevision(inForce, offered->revision);
+        if (decision == revision_decision::adopt) {
+            m_document = offered;
+            m_documentText = text;
+            adoptCurrentState();
         }
-        m_document = offered;
-        m_documentText = text;
-        adoptCurrentState();
     }
+    if (decision == revision_decision::older)
+        logEvent(event::document_older, "offered=" + number(offered->revision.value()) + " in_force=" + number(inForce.value()));
+    if (decision != revision_decision::adopt)
+        return;
     logEvent(event::document_adopted, "revision=" + number(offered->revision.value()) + " fronts=" + number(offered->fronts.size()));
     m_hooks.onChange();
 }
--- a/programs/dispatch/searcher_runtime.cc
+++ b/programs/dispatch/searcher_runtime.cc
@@ -444,8 +444,9 @@
         logEvent(state == ramp_state::warm ? event::searcher_warm : event::searcher_cold, "searcher=" + m_spec.id.value());
         m_lastLoggedState = state;
     }
+    const bool serving = m_reachable && !m_draining && !m_stopped && m_refusalReason() == reason::none; // locks the agent's mutex
     const std::lock_guard lock(m_reportMutex);
-    m_report.serving = m_reachable && !m_draining && !m_stopped && m_refusalReason() == reason::none;
+    m_report.serving = serving;
     m_report.held = m_heldSnapshots;
     m_reportedState = state;
 }
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -55,7 +55,7 @@
     m_evacuated = evacuated;
     m_retrySlack = share.slackShare(m_deploymentLimits.retrySlack);
     for (auto& [service, budget] : m_retryBudgets)
-        budget.changeSlack(m_retrySlack);
+        budget.changeLimits(m_deploymentLimits.retryShare, m_retrySlack, m_deploymentLimits.retryWindow);
     for (const auto& [id, pool] : m_pools)
         pool->setEvacuated(evacuated.contains(pool->entry().zone));
     for (const auto& [service, pools] : m_poolsByService)
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -34,7 +34,7 @@
     void updateConfiguration(const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated);
 
     // Replaces the deployment limits. Takes effect with the next call of updateConfiguration() or, for the searchers of
-    // changed services, updateEntries(). Retry budgets that exist keep their retryShare and retryWindow.
+    // changed services, updateEntries().
     void setDeploymentLimits(const deployment_limits& limits) { m_deploymentLimits = limits; }
 
     // Returns the usable searcher of a service with the lowest expected cost, or null if there is none. Searchers in
--- a/programs/load/load_generator.cc
+++ b/programs/load/load_generator.cc
@@ -87,6 +87,7 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
     m_isFinished = true;
+    m_records.flush(); // the process may end without running destructors
 }
 
 awaitable<void> load_generator::trackRequest(awaitable<void> request)
--- a/src/coordination/idempotency_table.cc
+++ b/src/coordination/idempotency_table.cc
@@ -58,7 +58,7 @@
     if (m_records.size() >= maxIdempotencyRecords)
         return idempotency_decision::full;
     m_records.emplace(key, idempotency_record { key, fingerprint, false, outcome::outcome_unknown, reason::in_progress, {} });
-    m_expiryQueue.emplace_back(now, key);
+    m_expiryQueue.emplace(now, key);
     return idempotency_decision::run;
 }
 
@@ -103,16 +103,16 @@
         }
         const auto createdAt = keyCreationTime(record.key);
         if (createdAt && m_records.emplace(record.key, record).second)
-            m_expiryQueue.emplace_back(*createdAt, record.key);
+            m_expiryQueue.emplace(*createdAt, record.key);
     }
 }
 
 void idempotency_table::expire(wall_time now)
 {
     // Records are kept for twice the retention, so that a key is refused for its age before its record is dropped.
-    while (!m_expiryQueue.empty() && m_expiryQueue.front().first < now - 2 * idempotencyRetention) {
-        m_records.erase(m_expiryQueue.front().second);
-        m_expiryQueue.pop_front();
+    while (!m_expiryQueue.empty() && m_expiryQueue.begin()->first < now - 2 * idempotencyRetention) {
+        m_records.erase(m_expiryQueue.begin()->second);
+        m_expiryQueue.erase(m_expiryQueue.begin());
     }
 }
 
--- a/src/coordination/retry_allowance.cc
+++ b/src/coordination/retry_allowance.cc
@@ -7,10 +7,34 @@
 retry_allowance::retry_allowance(double share, double slack, milliseconds window)
     : m_share(share)
     , m_slack(slack)
-    , m_sliceLength(window / slicesPerWindow)
+    , m_sliceLength(sliceLength(window))
 {
 }
 
+milliseconds retry_allowance::sliceLength(milliseconds window)
+{
+    return std::max(window / slicesPerWindow, milliseconds(1));
+}
+
+void retry_allowance::changeLimits(double share, double slack, milliseconds window)
+{
+    m_share = share;
+    m_slack = slack;
+    const auto length = sliceLength(window);
+    if (length == m_sliceLength)
+        return;
+    std::deque<slice> slices;
+    for (const auto& old : m_slices) {
+        const auto number = old.number * m_sliceLength / length;
+        if (slices.empty() || slices.back().number != number)
+            slices.push_back({ number, 0, 0 });
+        slices.back().requests += old.requests;
+        slices.back().extra += old.extra;
+    }
+    m_slices = std::move(slices);
+    m_sliceLength = length;
+}
+
 retry_allowance::slice& retry_allowance::currentSlice(monotonic_time now)
 {
     const auto number = static_cast<std::int64_t>(now.time_since_epoch() / m_sliceLength);
--- a/src/transport/metrics.cc
+++ b/src/transport/metrics.cc
@@ -16,19 +16,36 @@
     return combined.empty() ? combined : "{" + combined + "}";
 }
 
+// Appends a label, with the escapes that the text format requires in its value.
+void appendLabel(std::string& text, std::string_view name, std::string_view value)
+{
+    text.append(text.empty() ? "" : ",").append(name).append("=\"");
+    for (const char character : value) {
+        if (character == '\n') {
+            text.append("\\n");
+            continue;
+        }
+        if (character == '\\' || character == '"')
+            text.push_back('\\');
+        text.push_back(character);
+    }
+    text.push_back('"');
+}
+
 } // namespace
 
 metric_series::metric_series(const metric_labels& labels)
-    : m_text("tenant=\"" + labels.tenant + "\",front=\"" + labels.front + "\"")
 {
+    appendLabel(m_text, "tenant", labels.tenant);
+    appendLabel(m_text, "front", labels.front);
     if (!labels.outcome.empty())
-        m_text += ",outcome=\"" + labels.outcome + "\"";
+        appendLabel(m_text, "outcome", labels.outcome);
 }
 
 metric_series::metric_series(std::initializer_list<std::pair<std::string_view, std::string_view>> labels)
 {
     for (const auto& [name, value] : labels)
-        m_text.append(m_text.empty() ? "" : ",").append(name).append("=\"").append(value).append("\"");
+        appendLabel(m_text, name, value);
 }
 
 void metrics_registry::observe(const std::string& name, const metric_series& series, double seconds)
--- a/test/gateway_metrics_test.cc
+++ b/test/gateway_metrics_test.cc
@@ -74,3 +74,15 @@
     CHECK(text.find(R"(route="other")") != std::string::npos);
     CHECK(text.find("route=\"r" + std::to_string(gateway_metrics::maxRoutes) + "\"") == std::string::npos);
 }
+
+TEST_CASE("Label values are escaped")
+{
+    gateway_metrics metrics;
+    request_report ended;
+    ended.route = "a\"b\\c\nd";
+    ended.outcome = "answered";
+    metrics.record(ended);
+    const auto text = metrics.render({});
+    CHECK(text.find(R"(limpet_sends_total{route="a\"b\\c\nd"})") != std::string::npos);
+    CHECK(text.find("c\nd") == std::string::npos);
+}
--- a/test/idempotency_table_test.cc
+++ b/test/idempotency_table_test.cc
@@ -224,3 +224,16 @@
         REQUIRE(tracker.handoverFloor(secondEpoch.number.next()) == referenceTime);
     }
 }
+
+TEST_CASE("A merged record expires by the age of its key, also after younger records")
+{
+    idempotency_table table;
+    const auto old = keyCreatedAt(referenceTime - milliseconds(idempotencyRetention) / 2, 1);
+    REQUIRE(table.begin(keyCreatedAt(referenceTime, 2), 11, noFloor, referenceTime) == idempotency_decision::run);
+    table.merge({ { old, 11, true, outcome::answered, reason::none, {} } });
+    REQUIRE(table.records().size() == 2);
+    const auto later = referenceTime + 2 * idempotencyRetention - milliseconds(1);
+    REQUIRE(table.begin(keyCreatedAt(later, 3), 11, noFloor, later) == idempotency_decision::run); // expires old records
+    CHECK(table.find(old) == nullptr);
+    CHECK(table.records().size() == 2);
+}
--- a/test/retry_allowance_test.cc
+++ b/test/retry_allowance_test.cc
@@ -58,3 +58,37 @@
     CHECK_FALSE(allowance.tryWithdraw(start));
     CHECK(allowance.tryWithdraw(start + 2 * window));
 }
+
+TEST_CASE("Changed limits apply to a budget in use")
+{
+    retry_allowance allowance(0.2, 0, window);
+    for (int request = 0; request < 100; ++request)
+        allowance.recordRequest(start);
+    const auto now = start + window / 2;
+    for (int extra = 0; extra < 10; ++extra)
+        REQUIRE(allowance.tryWithdraw(now));
+    const auto before = allowance.remaining(now);
+
+    SECTION("a larger share allows more extra sends for the requests so far")
+    {
+        allowance.changeLimits(0.4, 0, window);
+        CHECK(allowance.remaining(now) == Approx(before + 0.2 * retry_allowance::usableShareFraction * 100));
+    }
+    SECTION("a smaller share can leave none")
+    {
+        allowance.changeLimits(0.05, 0, window);
+        CHECK_FALSE(allowance.tryWithdraw(now));
+    }
+    SECTION("a longer window counts the requests and extra sends so far for longer")
+    {
+        allowance.changeLimits(0.2, 0, 3 * window);
+        CHECK(allowance.remaining(now) == Approx(before));
+        CHECK(allowance.remaining(start + 2 * window) == Approx(before));
+        CHECK(allowance.remaining(start + 5 * window) == Approx(0));
+    }
+    SECTION("a shorter window forgets them earlier")
+    {
+        allowance.changeLimits(0.2, 5, window / 10);
+        CHECK(allowance.remaining(start + window) == Approx(5));
+    }
+}
