--- a/test/fuzz_test.cc
+++ b/test/fuzz_test.cc
@@ -88,6 +88,39 @@
     CHECK(decoded < 2 * rounds);
 }
 
+TEST_CASE("Mutated notices of a searcher are ignored or within their range")
+{
+    const platform::wire_protocol protocol;
+    mutator random;
+    const std::size_t rounds = std::size_t { 25 } * fromEnvironment("LIMPET_FUZZ_ROUNDS", 400);
+    for (std::size_t round = 0; round < rounds; ++round) {
+        http_reply reply;
+        reply.status = 503;
+        reply.fields = { { "Retry-After", random.mutate("12.5") }, { "Server-Leaving", random.mutate("1") }, { "Cold-Ms", random.mutate("1500") } };
+        const auto notice = protocol.decodeNotice(reply);
+        if (notice.pushback)
+            CHECK((*notice.pushback >= milliseconds(0) && *notice.pushback <= std::chrono::hours(24 * 365)));
+        const bool isAbsent = reply.field("Retry-After").empty();
+        CHECK(notice.invalidPushback.empty() == (isAbsent || notice.pushback.has_value()));
+        CHECK(protocol.decodeHealth(reply).coldTimeLeft >= milliseconds(0));
+    }
+}
+
+TEST_CASE("Mutated reply heads that end early are no success")
+{
+    standins::gateway_fixture fixture;
+    mutator random;
+    const std::string head = "HTTP/1.1 200 OK\r\nResponse-Stamp: s1\r\nRequest-Id: wanted\r\nContent-Length: 4\r\n\r\n";
+    std::size_t length = 0;
+    standins::raw_server truncatingServer(fixture.io, 0, [&](const http_request&, const standins::raw_exchange_handle& exchange) { exchange->send(head.substr(0, length), true); });
+    const auto rounds = fromEnvironment("LIMPET_FUZZ_ROUNDS", 400);
+    for (std::uint32_t round = 0; round < rounds; ++round) {
+        length = 1 + random.pick(head.size() - 1);
+        const auto answer = fixture.exchange(truncatingServer.address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", milliseconds(20));
+        CHECK_FALSE(answer.received);
+    }
+}
+
 TEST_CASE("Mutated requests do not affect later requests")
 {
     standins::gateway_fixture fixture;
--- a/test/soak/soak_checker.cc
+++ b/test/soak/soak_checker.cc
@@ -25,7 +25,7 @@
 const char* toText(promise value)
 {
     static constexpr std::array<const char*, promiseCount> names { "once", "true_refusal", "own_answer", "true_coverage", "no_cut", "in_time", "left_alone", "drained", "configured", "never_back", "cold", "extra_sends",
-        "recovered", "ends_well" };
+        "recovered", "ends_well", "leaving", "pushed_back" };
     return names.at(static_cast<std::size_t>(value));
 }
 
@@ -69,9 +69,46 @@
     const auto drainDeadline = m_drainDeadlines.find(searcher);
     if (drainDeadline != m_drainDeadlines.end() && now > drainDeadline->second && isSettled(now) && !state.isExcused)
         reportViolation(promise::drained, searcher + " received request " + state.request.id + " after its drain delay");
+    checkNotices(state, searcher, now);
     checkColdLimit(searcher, now);
 }
 
+void soak_checker::onPushback(const std::string& requestId, const std::string& searcher, milliseconds duration, monotonic_time now)
+{
+    const auto found = m_requests.find(requestId);
+    if (found != m_requests.end())
+        m_pushbacks[{ found->second.request.gateway, searcher }].push_back({ now + m_bounds.pushbackTolerance, now + duration, 0 });
+}
+
+void soak_checker::onSearcherStarted(const std::string& searcher)
+{
+    std::erase_if(m_leaveDeadlines, [&](const auto& item) { return item.first.second == searcher; });
+    std::erase_if(m_pushbacks, [&](const auto& item) { return item.first.second == searcher; });
+    std::erase_if(m_leavingSignatures, [&](const auto& item) { return item.second == searcher; });
+}
+
+void soak_checker::forgetNotices(const std::string& gateway)
+{
+    std::erase_if(m_leaveDeadlines, [&](const auto& item) { return item.first.first == gateway; });
+    std::erase_if(m_pushbacks, [&](const auto& item) { return item.first.first == gateway; });
+}
+
+void soak_checker::checkNotices(const request_state& state, const std::string& searcher, monotonic_time now)
+{
+    const gateway_and_searcher key { state.request.gateway, searcher };
+    const auto deadline = m_leaveDeadlines.find(key);
+    if (deadline != m_leaveDeadlines.end() && state.sentAt > deadline->second && !state.isExcused)
+        reportViolation(promise::leaving, searcher + " received request " + state.request.id + " from " + state.request.gateway + " after it had announced that it leaves");
+    const auto pushbacks = m_pushbacks.find(key);
+    if (pushbacks == m_pushbacks.end() || state.isExcused || !isSettled(now))
+        return;
+    std::erase_if(pushbacks->second, [&](const pushback_state& pushback) { return pushback.end < now; });
+    for (auto& pushback : pushbacks->second) {
+        if (now >= pushback.begin && ++pushback.arrivals > m_bounds.requestsPerPushback)
+            reportViolation(promise::pushed_back, searcher + " received " + std::to_string(pushback.arrivals) + " requests from " + state.request.gateway + " in the time that it had asked for");
+    }
+}
+
 void soak_checker::checkColdLimit(const std::string& searcher, monotonic_time now)
 {
     const auto found = m_cold.find(searcher);
@@ -118,14 +155,16 @@
         reportViolation(promise::recovered, "request " + requestId + " got status " + std::to_string(response.status) + " with " + std::to_string(response.missingParts) + " missing parts after the faults, expected a complete response");
     if (response.status != success)
         return;
-    checkParts(state, response);
+    checkParts(state, response, now);
     checkRecords(state, response);
 }
 
-void soak_checker::checkParts(const request_state& state, const client_response& response)
+void soak_checker::checkParts(const request_state& state, const client_response& response, monotonic_time now)
 {
     std::set<std::string> services;
     for (const auto& signature : response.signatures) {
+        if (const auto leaving = m_leavingSignatures.find(signature); leaving != m_leavingSignatures.end() && !state.isExcused)
+            m_leaveDeadlines.try_emplace({ state.request.gateway, leaving->second }, now + m_bounds.drainDelay);
         const auto signedResponse = m_signatures.find(signature);
         if (signedResponse == m_signatures.end() || signedResponse->second.first != state.request.id)
             reportViolation(promise::own_answer, "request " + state.request.id + " got a response with signature " + signature + ", which belongs to no response to this request");
@@ -170,6 +209,7 @@
 void soak_checker::onGatewayDown(const std::string& gateway, monotonic_time now)
 {
     m_downGateways.insert(gateway);
+    forgetNotices(gateway);
     excuseRequests(gateway);
     onDisturbance(now);
 }
@@ -177,6 +217,7 @@
 void soak_checker::onGatewayUp(const std::string& gateway, monotonic_time now)
 {
     m_downGateways.erase(gateway);
+    forgetNotices(gateway);
     excuseRequests(gateway);
     onDisturbance(now);
 }
--- a/test/soak/soak_checker.h
+++ b/test/soak/soak_checker.h
@@ -28,9 +28,11 @@
     extra_sends, // Retries and hedged requests stay within their budget.
     recovered, // Once all faults have ended, requests get complete responses.
     ends_well, // A process exits only when told to, and in time.
+    leaving, // A searcher that announced in a response that it leaves gets no requests once the drain delay has passed.
+    pushed_back, // A searcher that rejected a request with a time to wait gets no requests in that time.
 };
 
-constexpr std::size_t promiseCount = 14;
+constexpr std::size_t promiseCount = 16;
 
 // Returns the name of the enumerator, as scripts/soak uses it.
 const char* toText(promise value);
@@ -64,6 +66,8 @@
     double extraRequestRatio = 0.2; // Extra requests per request.
     double extraRequestSlack = 58; // Extra requests per window in addition to the ratio.
     double coldRequestsPerSecond = 5;
+    milliseconds pushbackTolerance { 500 }; // From the rejection until requests count.
+    std::uint32_t requestsPerPushback = 2; // In the rest of the time to wait, from one gateway.
 };
 
 // Checks the promises during a soak, from what clients and searchers observe. All times come from the same clock.
@@ -84,6 +88,15 @@
     // Records the signature that a searcher put on its response to a request.
     void onResponseSigned(const std::string& signature, const std::string& requestId, const std::string& service) { m_signatures[signature] = { requestId, service }; }
 
+    // Records that the response with this signature announced that its searcher leaves. Call it before the client has it.
+    void onLeavingAnnounced(const std::string& signature, const std::string& searcher) { m_leavingSignatures[signature] = searcher; }
+
+    // Records that a searcher rejected a request and wants no other one from its gateway for this time.
+    void onPushback(const std::string& requestId, const std::string& searcher, milliseconds duration, monotonic_time now);
+
+    // Records that a searcher was restarted: what it said before does not apply any more.
+    void onSearcherStarted(const std::string& searcher);
+
     // Records the response that a client received.
     void onResponseReceived(const std::string& requestId, const client_response& response, monotonic_time now);
 
@@ -157,15 +170,23 @@
         monotonic_time until {};
         std::deque<monotonic_time> arrivals; // Within the last second.
     };
+    struct pushback_state {
+        monotonic_time begin;
+        monotonic_time end;
+        std::uint32_t arrivals = 0;
+    };
+    using gateway_and_searcher = std::pair<std::string, std::string>;
     struct service_window {
         std::deque<monotonic_time> requests;
         std::deque<monotonic_time> extraRequests;
     };
 
     void checkArrival(const request_state& state, const std::string& searcher, monotonic_time now);
+    void checkNotices(const request_state& state, const std::string& searcher, monotonic_time now);
+    void forgetNotices(const std::string& gateway);
     void checkColdLimit(const std::string& searcher, monotonic_time now);
     void checkExtraRequests(const std::string& service, bool isFirst, monotonic_time now);
-    void checkParts(const request_state& state, const client_response& response);
+    void checkParts(const request_state& state, const client_response& response, monotonic_time now);
     void checkRecords(const request_state& state, const client_response& response);
     void excuseRequests(const std::string& gateway);
     [[nodiscard]] bool isSettled(monotonic_time now) const { return now > m_settledAt; }
@@ -175,6 +196,9 @@
     std::set<std::string> m_downGateways;
     std::map<std::string, std::pair<std::string, std::string>> m_signatures; // Request id and service, by signature.
     std::map<std::string, monotonic_time> m_drainDeadlines; // By searcher.
+    std::map<std::string, std::string> m_leavingSignatures; // Searcher by signature.
+    std::map<gateway_and_searcher, monotonic_time> m_leaveDeadlines;
+    std::map<gateway_and_searcher, std::vector<pushback_state>> m_pushbacks;
     std::map<std::string, cold_state> m_cold; // By searcher.
     std::map<std::string, service_window> m_windows; // By service.
     std::map<std::uint64_t, monotonic_time> m_versions; // Time at which each version was written.
--- a/test/soak/soak_environment.cc
+++ b/test/soak/soak_environment.cc
@@ -69,12 +69,17 @@
     searcher.address = searcher.process->address();
     searcher.coldUntil = {};
     m_checker.setColdUntil(searcher.id, {});
+    m_checker.onSearcherStarted(searcher.id);
     if (!searcher.link)
         searcher.link = createLink(searcher.address);
     searcher.link->relay->redirect(parseTcpEndpoint(searcher.address));
     searcher.process->advertise(searcher.link->relay->address());
     searcher.process->answerWithRequestId([this] { return milliseconds((m_injectedViolation == promise::no_cut ? 100 : 1) + randomIndex(m_random, 8)); });
-    searcher.process->onResponseStamp([this, service = searcher.service](const std::string& signature, const std::string& request) { m_checker.onResponseSigned(signature, m_injectedViolation == promise::own_answer ? "other" : request, service); });
+    searcher.process->onResponseStamp([this, &searcher, process = searcher.process.get()](const std::string& signature, const std::string& request) {
+        m_checker.onResponseSigned(signature, m_injectedViolation == promise::own_answer ? "other" : request, searcher.service);
+        if (process == searcher.process.get() && (process->isLeaving() || m_injectedViolation == promise::leaving))
+            m_checker.onLeavingAnnounced(signature, searcher.id);
+    });
     searcher.process->onArrival([this, id = searcher.id, service = searcher.service](const http_request& request, bool isExecuted) {
         const int reportCount = m_injectedViolation == promise::once || m_injectedViolation == promise::extra_sends ? 2 : 1;
         for (int report = 0; report < reportCount; ++report)
@@ -129,6 +134,10 @@
     static constexpr std::array<fault_function, 4> functions { &soak_environment::writeConfiguration, &soak_environment::drainSearcher, &soak_environment::evacuateZone, &soak_environment::startColdSearcher };
     ++m_faultCount;
     (this->*functions.at(randomIndex(m_random, functions.size())))();
+    if (randomIndex(m_noticeRandom, 4) == 0)
+        announceLeaving();
+    else if (randomIndex(m_noticeRandom, 3) == 0)
+        pushBack();
 }
 
 void soak_environment::disableServicePermanently()
@@ -290,4 +299,34 @@
     scheduleEnd(coldDuration, coldDuration, [process = searcher.process.get()] { process->setCold(0); });
 }
 
+// Lets a searcher announce that it leaves, without a change of its entry. It is restarted some time later.
+void soak_environment::announceLeaving()
+{
+    auto& searcher = *m_searchers[randomIndex(m_noticeRandom, m_searchers.size())];
+    trace("leaving announced", searcher.id);
+    if (m_injectedViolation != promise::leaving)
+        searcher.process->announceLeaving();
+    scheduleEnd(2 * longestFaultDuration, 3 * longestFaultDuration, [this, &searcher, process = searcher.process.get()] {
+        if (process != searcher.process.get())
+            return; // It was restarted meanwhile.
+        startSearcher(searcher);
+        registerSearcher(searcher);
+    });
+}
+
+// Lets a searcher reject requests for some time and state how long it wants none.
+void soak_environment::pushBack()
+{
+    auto& searcher = *m_searchers[randomIndex(m_noticeRandom, m_searchers.size())];
+    const milliseconds duration(1000 + 100 * randomIndex(m_noticeRandom, 25));
+    trace("pushback of " + std::to_string(duration.count()) + " ms", searcher.id);
+    searcher.process->setBehaviour(searcher_behaviour::shedding);
+    searcher.process->setRetryAfter(m_injectedViolation == promise::pushed_back ? "0" : std::to_string(duration.count() / 1000) + "." + std::to_string(duration.count() % 1000 / 100));
+    searcher.process->onPushback([this, id = searcher.id, duration](const std::string& request) { m_checker.onPushback(request, id, duration, monotonic_clock::now()); });
+    scheduleEnd(shortestFaultDuration, longestFaultDuration, [process = searcher.process.get()] {
+        process->setBehaviour(searcher_behaviour::normal);
+        process->setRetryAfter("");
+    });
+}
+
 } // namespace limpetpier::soak
--- a/test/soak/soak_environment.h
+++ b/test/soak/soak_environment.h
@@ -34,7 +34,8 @@
     // Injects a random fault or applies a random change.
     void injectFault();
 
-    // Applies a random change that is no fault: a new configuration, an evacuated zone, a draining or a cold searcher.
+    // Applies a random change that is no fault: a new configuration, an evacuated zone, a draining or a cold searcher, or a
+    // searcher that announces that it leaves or pushes back.
     void applyChange();
 
     // Makes all searchers of one service unreachable for good.
@@ -81,6 +82,8 @@
     void drainSearcher();
     void evacuateZone();
     void startColdSearcher();
+    void announceLeaving();
+    void pushBack();
     searcher_state& randomSearcher() { return *m_searchers[randomIndex(m_random, m_searchers.size())]; }
     void injectLinkFault(network_link& link);
     void scheduleEnd(milliseconds shortest, milliseconds longest, std::function<void()> end);
@@ -89,6 +92,7 @@
     boost::asio::io_context& m_io;
     soak_checker& m_checker;
     random_engine& m_random;
+    random_engine m_noticeRandom = m_random; // Of its own, so that notices leave the choice of faults by a seed unchanged.
     std::optional<promise> m_injectedViolation;
     standins::platform_store m_store;
     std::vector<std::unique_ptr<network_link>> m_storeLinks;
--- a/test/soak_checker_test.cc
+++ b/test/soak_checker_test.cc
@@ -206,3 +206,83 @@
     SECTION("error status") { CHECK(history.respond({ 504, false, {}, 0, "" }).brokenPromises() == std::set { promise::recovered }); }
     SECTION("complete response: no violation") { CHECK(history.respond(completeResponse).brokenPromises() == noPromises); }
 }
+
+TEST_CASE("A searcher that announced in a response that it leaves gets no requests from that gateway after the drain delay")
+{
+    request_history history;
+    history.sendSafe().execute().checker.onLeavingAnnounced("s1", "a1");
+    history.respond(completeResponse);
+    const auto arriveFrom = [&](const std::string& gateway) {
+        history.send({ "r2", gateway, { "a" }, true }).execute("a", "s2", "r2");
+        return history.brokenPromises();
+    };
+
+    SECTION("but may get them before")
+    {
+        history.wait(milliseconds(2900));
+        CHECK(arriveFrom("gateway-1") == noPromises);
+    }
+    SECTION("not one later")
+    {
+        history.wait(milliseconds(3100));
+        CHECK(arriveFrom("gateway-1") == std::set { promise::leaving });
+    }
+    SECTION("another gateway did not see the announcement")
+    {
+        history.wait(milliseconds(3100));
+        CHECK(arriveFrom("gateway-2") == noPromises);
+    }
+    SECTION("a restart of the searcher ends it")
+    {
+        history.checker.onSearcherStarted("a1");
+        history.wait(milliseconds(3100));
+        CHECK(arriveFrom("gateway-1") == noPromises);
+    }
+    SECTION("a restart of the gateway ends it")
+    {
+        history.checker.onGatewayDown("gateway-1", history.now);
+        history.checker.onGatewayUp("gateway-1", history.now);
+        history.wait(milliseconds(10'000));
+        CHECK(arriveFrom("gateway-1") == noPromises);
+    }
+}
+
+TEST_CASE("A searcher that pushed back gets at most two requests from that gateway in the time that it asked for")
+{
+    request_history history;
+    history.sendSafe().checker.onPushback("r1", "a1", milliseconds(2000), history.now);
+    const auto arrive = [&](int count) {
+        for (int index = 0; index < count; ++index) {
+            const auto id = "p" + std::to_string(index);
+            history.send({ id, "gateway-1", { "a" }, true }).execute("a", "s" + id, id);
+        }
+        return history.brokenPromises();
+    };
+
+    SECTION("those within the tolerance do not count")
+    {
+        history.wait(milliseconds(400));
+        CHECK(arrive(5) == noPromises);
+    }
+    SECTION("two are allowed")
+    {
+        history.wait(milliseconds(600));
+        CHECK(arrive(2) == noPromises);
+    }
+    SECTION("three are not")
+    {
+        history.wait(milliseconds(600));
+        CHECK(arrive(3) == std::set { promise::pushed_back });
+    }
+    SECTION("after the time they are")
+    {
+        history.wait(milliseconds(2100));
+        CHECK(arrive(5) == noPromises);
+    }
+    SECTION("a disturbance excuses them")
+    {
+        history.checker.onDisturbance(history.now);
+        history.wait(milliseconds(600));
+        CHECK(arrive(3) == noPromises);
+    }
+}
--- a/test/standins/platform_searcher.h
+++ b/test/standins/platform_searcher.h
@@ -57,10 +57,14 @@
 
     // Makes every response from now on, health checks included, announce that the searcher is leaving.
     void announceLeaving() { m_leaving = true; }
+    [[nodiscard]] bool isLeaving() const { return m_leaving; }
 
     // Sets the value of Retry-After in responses with 503; empty: none.
     void setRetryAfter(std::string value) { m_retryAfter = std::move(value); }
 
+    // Sets a callback for each request that the searcher rejects with Retry-After.
+    void onPushback(std::function<void(const std::string& requestId)> handle) { m_onPushback = std::move(handle); }
+
     [[nodiscard]] const std::string& id() const { return m_id; }
     [[nodiscard]] std::string address() const { return m_server.address(); }
     [[nodiscard]] raw_server& server() { return m_server; }
@@ -98,6 +102,7 @@
     bool m_healthy = true;
     bool m_leaving = false;
     std::string m_retryAfter;
+    std::function<void(const std::string&)> m_onPushback;
     std::size_t m_arrivals = 0;
     std::size_t m_healthChecks = 0;
     std::function<void(const std::string&, const std::string&)> m_onResponseStamp;
