A gateway that cannot send checks at once whether the store still answers

Change: a request that failed for lack of searchers makes the gateway renew its lease early, and the silence before it becomes unready is 1.5 s. The test fails without the early renewal.

--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -24,6 +24,9 @@
     // Removes this process from the member list.
     void leave() { m_membership.leave(); }
 
+    // Finds out whether the store still answers this process, after requests could not be sent to any searcher.
+    void probeStore() { m_membership.probeStore(); }
+
     // Removes expired searchers, updates the member count and requests peer views during an outage of the store. Call
     // it about every 100 ms.
     void maintain(monotonic_time now);
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -34,7 +34,7 @@
 constexpr milliseconds stopPollInterval { 20 };
 
 // Time without contact to the store after which this process is ready only while its searchers cover all routes.
-constexpr milliseconds maxStoreSilence { 2500 };
+constexpr milliseconds maxStoreSilence { 1500 };
 
 } // namespace
 
@@ -172,6 +172,8 @@
 {
     constexpr unsigned firstFailure = 500;
     m_metrics.record(ended);
+    if (ended.lackedSearchers)
+        m_view.probeStore(); // this process may be cut off from both
     const auto id = ended.status >= firstFailure ? event::request_failed : event::request_ended;
     if (!isLogged(id))
         return;
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -9,6 +9,9 @@
 // Delay before a failed call to the store is retried.
 constexpr milliseconds retryDelay { 700 };
 
+// The store is not probed within this time after its last answer.
+constexpr milliseconds minSilenceBeforeProbe { 400 };
+
 } // namespace
 
 membership::membership(const asio::any_io_executor& executor, metadata_store& store, store_follower& follower, listed_member self, std::string peerAddress, membership_timing timing)
@@ -26,6 +29,15 @@
     acquire();
 }
 
+void membership::probeStore()
+{
+    const bool isRegistered = m_lease != lease_id {};
+    if (m_leaving || m_renewing || !isRegistered || !m_follower.isReachable() || monotonic_clock::now() - lastStoreAnswer() < minSilenceBeforeProbe)
+        return;
+    m_timer.cancel();
+    renew();
+}
+
 void membership::leave()
 {
     m_leaving = true;
@@ -64,7 +76,9 @@
 
 void membership::renew()
 {
+    m_renewing = true;
     m_store.renewLease(m_lease, [this](store_result result) {
+        m_renewing = false;
         if (m_leaving)
             return;
         if (result == store_result::no_lease) {
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -29,6 +29,9 @@
     // Acquires the lease and writes the entry of this process; retries until both succeed.
     void start();
 
+    // Renews the lease now if the store has been silent for minSilenceBeforeProbe, to find out whether it still answers.
+    void probeStore();
+
     // Ends the lease, which removes this process from the list, and stops renewing it.
     void leave();
 
@@ -77,6 +80,7 @@
     lease_id m_lease;
     monotonic_time m_renewedAt {}; // last renewal, or the write of the entry under a new lease
     monotonic_time m_watchCheckedAt {};
+    bool m_renewing = false;
     bool m_leaving = false;
     std::map<node_id, member> m_members;
 };
--- a/programs/gateway/query_handler.cc
+++ b/programs/gateway/query_handler.cc
@@ -81,6 +81,7 @@
     void refuse(monotonic_time expectedReturn)
     {
         m_report.missingParts = m_parts.size();
+        m_report.lackedSearchers = true;
         logMissingParts(event::part_failed);
         finishNotExecuted("too_few_shards", "too few shards accept requests at present, so the query was not executed; retry it", expectedReturn);
         m_self.reset();
@@ -267,6 +268,7 @@
     void fail(monotonic_time now)
     {
         m_report.missingParts = m_parts.size() - progress().done;
+        m_report.lackedSearchers = true;
         logMissingParts(event::part_failed);
         const bool mayHaveBeenExecuted = std::any_of(m_parts.begin(), m_parts.end(), [](const auto& part) { return part.possibleExecutions > 0; });
         if (!mayHaveBeenExecuted)
--- a/programs/gateway/single_searcher_handler.cc
+++ b/programs/gateway/single_searcher_handler.cc
@@ -168,8 +168,10 @@
             finish(m_context.protocol.encodeAnswer(*m_request.clientRequest, *m_failureReply), "searcher_failed");
         else if (mayHaveBeenExecuted())
             finishPossiblyExecuted(statusBadGateway, "unknown", "no searcher sent a complete reply; the request may have been executed");
-        else
+        else {
+            m_report.lackedSearchers = true;
             finishNotExecuted("no_searcher", "no searcher accepted the request, so it was not executed; retry it", expectedReturn());
+        }
         cancelRunningCalls(supersededCallGrace);
     }
 
--- a/test/gateway_query_test.cc
+++ b/test/gateway_query_test.cc
@@ -210,3 +210,50 @@
         CHECK(answer.elapsed < milliseconds(100));
     }
 }
+
+namespace {
+
+// A gateway that would notice an outage of the store only after a long silence.
+class long_silence_fixture : public standins::gateway_fixture {
+public:
+    long_silence_fixture()
+    {
+        for (const auto* service : { "a", "b", "c" })
+            addSearcher(service, std::string(service) + "1", "z");
+        writeConfiguration(1);
+        silenceTimeout = milliseconds(10'000);
+        settings.membershipTiming.renewalInterval = milliseconds(10'000);
+        startAndAwaitReady();
+        runFor(milliseconds(1500)); // until the watch is pending
+    }
+
+    // Sends queries until the gateway is not ready. Returns whether it is not ready within the time.
+    bool becomesUnready(milliseconds timeout)
+    {
+        int query = 0;
+        return runUntil([&] { sendRequest("/query/x", "id" + std::to_string(++query)); return !isReady(); }, timeout);
+    }
+
+    void crashSearchers()
+    {
+        for (const auto& [id, searcher] : searchers)
+            searcher->server().crash();
+    }
+};
+
+} // namespace
+
+TEST_CASE("A gateway cut off from its searchers and the store becomes unready soon")
+{
+    long_silence_fixture fixture;
+    fixture.store.setBehaviour(standins::store_behaviour::unresponsive);
+    fixture.crashSearchers();
+    CHECK(fixture.becomesUnready(milliseconds(2500)));
+}
+
+TEST_CASE("A gateway whose searchers are gone but that reaches the store stays ready")
+{
+    long_silence_fixture fixture;
+    fixture.crashSearchers();
+    CHECK_FALSE(fixture.becomesUnready(milliseconds(2500)));
+}
--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -61,7 +61,7 @@
         settings.readyAddress = freeAddress();
         settings.peerAddress = freeAddress();
         settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, 5 };
-        settings.membershipTiming.silenceTimeout = milliseconds(200);
+        settings.membershipTiming.silenceTimeout = silenceTimeout;
         settings.memberSettleTime = memberSettleTime;
         settings.stopGrace = milliseconds(1500);
         gatewayProcess = std::make_unique<gateway>(io, protocol, storeClient, settings);
@@ -149,6 +149,7 @@
     platform::wire_protocol protocol;
     platform::kv_store storeClient { io.get_executor(), store.address(), milliseconds(300) };
     gateway_settings settings;
+    milliseconds silenceTimeout { 200 }; // of the gateway, before it checks whether the store still answers
     std::unique_ptr<gateway> gatewayProcess;
 };
 
