Peers that are cut off together no longer confirm each other's view

Cause: a gateway told its peers that its view was of this moment as long as it had not noticed an outage itself. Change: a view's age counts from the store's last answer to its gateway; a view of a later revision is adopted whatever its age, one of the same revision only confirms, an earlier one is ignored. Both tests failed before.

--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -238,7 +238,7 @@
 // Requests another gateway's view of the platform's store. Gateway to gateway, while the sender cannot read the store.
 struct view_request {
     std::uint64_t revision = 0; // store revision of the sender's view; 0 for none
-    std::int64_t ageMs = 0; // age of that view
+    std::int64_t ageMs = 0; // age of that view; used by earlier versions only
 
     template <typename Archive>
     void serialize(Archive& archive)
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -64,6 +64,7 @@
 
 void deployment_view::maintain(monotonic_time now)
 {
+    m_revision = revision(); // the follower's is zero while it reads all keys again
     m_changes.searchers.merge(m_directory.expire(now));
     if (m_membersChanged)
         updateMembers();
@@ -193,10 +194,11 @@
         return {};
     const auto now = monotonic_clock::now();
     view_reply view;
-    // A pending watch keeps the view up to date; the view ages only while the store is unreachable.
-    view.ageMs = m_storeFollower.isReachable() ? 0 : std::chrono::duration_cast<milliseconds>(now - lastStoreContact()).count();
+    // The age counts from the last answer, also while the store seems reachable: a process that is cut off together with
+    // the requester must not confirm its view before it has noticed the outage itself.
+    view.ageMs = std::chrono::duration_cast<milliseconds>(now - lastStoreContact()).count();
     view.revision = revision();
-    view.unchanged = view.revision == request.revision || view.ageMs >= request.ageMs;
+    view.unchanged = view.revision <= request.revision;
     if (view.unchanged)
         return view;
     view.tableText = m_tableText;
@@ -213,19 +215,22 @@
     return view;
 }
 
-// Adopts a peer's view if the store answered that peer later than it answered this process.
+// Adopts a peer's view if it is of a later revision. One of the same revision only confirms this process's view, if the
+// store answered that peer later than it answered this process.
 void deployment_view::adoptView(const view_reply& view)
 {
     const auto now = monotonic_clock::now();
-    const auto confirmedAt = now - milliseconds(view.ageMs);
-    if (m_storeFollower.isReachable() || confirmedAt <= lastStoreContact() || view.members.size() != view.memberEntries.size())
+    const auto confirmedAt = now - std::max(milliseconds(view.ageMs), milliseconds(0));
+    const auto knownRevision = revision();
+    const bool isLater = !view.unchanged && view.revision > knownRevision;
+    const bool isConfirmation = view.revision == knownRevision && confirmedAt > lastStoreContact();
+    if (m_storeFollower.isReachable() || (!isLater && !isConfirmation) || view.members.size() != view.memberEntries.size())
         return;
-    if (view.unchanged && view.revision != revision())
-        return; // answers a request that was sent before the view of another peer was adopted
-    m_peerViewConfirmedAt = confirmedAt;
-    m_peerViewRevision = view.revision;
-    if (!view.unchanged)
+    m_peerViewConfirmedAt = std::max(m_peerViewConfirmedAt, confirmedAt);
+    if (isLater) {
+        m_revision = view.revision;
         replaceWith(view, now);
+    }
     logEvent(event::view_from_peer, event_fields().add("age_ms", view.ageMs).add("table", m_table ? m_table->version().value() : 0).add("searchers", m_directory.records().size()).add("unchanged", view.unchanged ? "yes" : "no"));
 }
 
@@ -253,7 +258,7 @@
 
 std::uint64_t deployment_view::revision() const
 {
-    return m_peerViewConfirmedAt > m_storeFollower.lastAnswer() ? m_peerViewRevision : m_storeFollower.revision().value();
+    return std::max(m_revision, m_storeFollower.revision().value());
 }
 
 void deployment_view::requestPeerViews(monotonic_time now)
--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -49,8 +49,8 @@
     // Returns whether the store answers this process.
     [[nodiscard]] bool isReachable() const { return m_storeFollower.isReachable(); }
 
-    // When the store last answered this process or, if that is later, the peer whose view is in force.
-    [[nodiscard]] monotonic_time lastStoreContact() const { return std::max(m_peerViewConfirmedAt, m_storeFollower.lastAnswer()); }
+    // When the store last answered this process or, if that is later, a peer that confirmed this process's view.
+    [[nodiscard]] monotonic_time lastStoreContact() const { return std::max(m_peerViewConfirmedAt, m_membership.lastStoreAnswer()); }
 
     // Time since the store last answered this process; negative before the first answer.
     [[nodiscard]] milliseconds age() const;
@@ -95,8 +95,8 @@
     store_follower m_storeFollower;
     membership m_membership;
     std::unique_ptr<peer_views> m_peers;
-    monotonic_time m_peerViewConfirmedAt {}; // when the store last answered the peer whose view is in force
-    std::uint64_t m_peerViewRevision = 0; // store revision of that view
+    monotonic_time m_peerViewConfirmedAt {}; // when the store last answered a peer that confirmed this view
+    std::uint64_t m_revision = 0; // highest store revision of this view so far
     monotonic_time m_nextPeerRequestAt {};
     std::size_t m_peerRequestCount = 0;
     changes m_changes;
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -35,6 +35,9 @@
     // Ends the lease, which removes this process from the list, and stops renewing it.
     void leave();
 
+    // When the store last answered a call of this process or its watch.
+    [[nodiscard]] monotonic_time lastStoreAnswer() const;
+
     // One live process.
     struct member {
         data_centre_id zone;
@@ -67,7 +70,6 @@
     void writeOwnEntry(lease_id lease);
     void renew();
     void checkWatch();
-    [[nodiscard]] monotonic_time lastStoreAnswer() const;
     void scheduleRenewal();
     void scheduleStep(milliseconds delay, void (membership::*step)());
 
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -17,9 +17,11 @@
 // Gateway with two searchers of service "a" and a configuration of version 5.
 class view_fixture : public standins::gateway_fixture {
 public:
-    explicit view_fixture(const std::string& nodeSecret = "")
+    explicit view_fixture(const std::string& nodeSecret = "", milliseconds silence = milliseconds(200))
     {
         settings.nodeSecret = nodeSecret;
+        silenceTimeout = silence;
+        settings.membershipTiming.renewalInterval = std::max(settings.membershipTiming.renewalInterval, silence);
         addSearcher("a", "a1", "z");
         addSearcher("a", "a2", "z");
         writeConfiguration(5);
@@ -356,3 +358,58 @@
         CHECK(fixture.runUntil([&] { return fixture.sendRequest("/new/x", "id3").reply.status == 200; }));
     }
 }
+
+TEST_CASE("A view ages from the last answer of the store, also before the outage is noticed")
+{
+    view_fixture fixture("secret", milliseconds(60'000));
+    fixture.runFor(propagationTime); // until the watch is pending
+    fixture.store.setBehaviour(store_behaviour::unresponsive);
+    fixture.runFor(milliseconds(800));
+    const auto view = requestView(fixture, { 0, staleAgeMs });
+    REQUIRE(view.has_value());
+    CHECK(view->ageMs >= 800);
+}
+
+TEST_CASE("A view of a later revision is adopted, although the store answered that peer earlier than another one")
+{
+    standins::gateway_fixture fixture;
+    fixture.addSearcher("a", "a1", "z");
+    fixture.store.setBehaviour(store_behaviour::rejecting);
+    fixture.settings.nodeSecret = "secret";
+    view_reply offered;
+    const auto peerAddress = fixture.freeAddress();
+    peer_views peer(
+        fixture.io.get_executor(), peerAddress, "secret", [&](const view_request&) { return std::optional(offered); }, [](const view_reply&) {});
+    const auto offer = [&](std::uint64_t revision, std::int64_t ageMs, const std::string& table) {
+        offered = {};
+        offered.revision = revision;
+        offered.ageMs = ageMs;
+        offered.tableText = table;
+        offered.searchers.push_back({ searcher_id("a1"), service_id("a"), fixture.searchers["a1"]->address(), data_centre_id("z1"), 2, false, 0, 1 });
+    };
+    offer(10, 0, standins::gateway_fixture::makeConfiguration(5));
+    fixture.settings.seeds = { peerAddress };
+    fixture.startGateway();
+    REQUIRE(fixture.runUntil([&] { return fixture.sendRequest("/safe/x", "id1").reply.status == 200; }));
+
+    SECTION("a later one")
+    {
+        offer(11, 5000, standins::gateway_fixture::makeConfiguration(6, newRoute));
+        CHECK(fixture.runUntil([&] { return fixture.sendRequest("/new/x", "id2").reply.status == 200; }));
+    }
+    SECTION("not an earlier one")
+    {
+        offer(9, 0, standins::gateway_fixture::makeConfiguration(6, newRoute));
+        fixture.runFor(propagationTime);
+        CHECK(fixture.sendRequest("/new/x", "id2").reply.status == 404);
+    }
+    SECTION("entries of a peer that no searcher can have are skipped")
+    {
+        offer(11, 0, standins::gateway_fixture::makeConfiguration(6, newRoute));
+        const auto address = GENERATE("127.0.0.1:0", "127.0.0.1:70000", "127.0.0.1:99999999999", "nowhere");
+        offered.searchers.push_back({ searcher_id("odd1"), service_id("a"), address, data_centre_id("z1"), 2, false, 0, 1 });
+        offered.searchers.push_back({ searcher_id("odd2"), service_id("a"), "127.0.0.1:9", data_centre_id("z1"), 2, false, std::numeric_limits<std::int64_t>::max(), 1 });
+        CHECK(fixture.runUntil([&] { return fixture.sendRequest("/new/x", "id2").reply.status == 200; }));
+        CHECK(fixture.sendRequest("/safe/x", "id3").reply.status == 200);
+    }
+}
