--- a/programs/gateway/query_handler.cc
+++ b/programs/gateway/query_handler.cc
@@ -20,7 +20,8 @@
         , m_policy(m_request.matchedRoute->shards.size(), m_request.matchedRoute->minCoverage, m_request.arrivedAt, m_request.matchedRoute->latencyObjective, m_request.statistics->answerDelay.expected())
     {
         for (const auto& service : m_request.matchedRoute->shards)
-            m_parts.push_back({ service, part_state::waiting, {}, {}, 0, 0, {}, {} });
+            m_parts.push_back({ service, &m_context.fleet.retryBudget(service), part_state::waiting, {}, {}, 0, 0, {}, {} });
+        m_progress.unsent = m_parts.size();
         m_report.parts = m_parts.size();
     }
 
@@ -38,9 +39,9 @@
         }
         for (std::size_t index = 0; index < m_parts.size() && !isFinished(); ++index) {
             const auto now = monotonic_clock::now(); // read for each part: on a slow machine the last one is sent much later than the first
-            m_context.fleet.retryBudget(m_parts[index].service).recordRequest(now);
+            m_parts[index].retryBudget->recordRequest(now);
             if (!sendPart(index, now, "first") && !canStillBeSent(m_parts[index], now))
-                m_parts[index].state = part_state::failed;
+                changeState(m_parts[index], part_state::failed);
         }
         answerOrWait();
     }
@@ -55,6 +56,7 @@
 
     struct part {
         service_id service;
+        retry_allowance* retryBudget;
         part_state state;
         std::vector<searcher_id> triedSearchers;
         std::vector<std::pair<searcher_id, call_handle>> runningCalls;
@@ -64,6 +66,32 @@
         searcher_reply reply;
     };
 
+    void changeState(part& part, part_state state)
+    {
+        if (auto* count = countOf(part.state))
+            --*count;
+        part.state = state;
+        if (auto* count = countOf(state))
+            ++*count;
+        m_timerOutdated = m_timerOutdated || state == part_state::waiting || state == part_state::running;
+    }
+
+    // Returns the counter of the parts in a state; null for running ones, which are not counted.
+    std::size_t* countOf(part_state state)
+    {
+        switch (state) {
+        case part_state::waiting:
+            return &m_progress.unsent;
+        case part_state::done:
+            return &m_progress.done;
+        case part_state::failed:
+            return &m_progress.failed;
+        case part_state::running:
+            break;
+        }
+        return nullptr;
+    }
+
     // Returns whether a searcher that was not tried may accept the part before the policy counts it as failed.
     [[nodiscard]] bool canStillBeSent(const part& part, monotonic_time now) const { return m_context.fleet.sendableFrom(part.service, part.triedSearchers, now) <= std::max<monotonic_time>(now, m_policy.unsentDeadline()); }
 
@@ -94,14 +122,14 @@
         if (pool == nullptr)
             return false;
         const bool isFirst = part.possibleArrivals == 0;
-        if (!isFirst && !m_context.fleet.retryBudget(part.service).tryWithdraw(now))
+        if (!isFirst && !part.retryBudget->tryWithdraw(now))
             return false;
         const auto searcher = pool->entry().id;
         auto call = std::make_shared<searcher_call>();
         call->request = m_request.clientRequest;
         call->isExtraSend = !isFirst;
         call->deadline = m_request.deadline;
-        call->stalledAt = now + 2 * m_request.statistics->hedgeDelay(*m_request.matchedRoute);
+        call->stalledAt = now + 2 * m_hedgeDelay;
         call->onResult = [self = shared_from_this(), index, call = std::weak_ptr(call), searcher](call_result result) { self->handleResult(index, call.lock(), searcher, std::move(result)); };
         if (isFirst)
             part.firstSentAt = now;
@@ -109,7 +137,7 @@
             recordResend(part.service, searcher, why, std::chrono::duration_cast<microseconds>(now - part.firstSentAt));
         part.triedSearchers.push_back(searcher);
         part.runningCalls.emplace_back(searcher, call);
-        part.state = part_state::running;
+        changeState(part, part_state::running);
         ++part.possibleExecutions;
         ++part.possibleArrivals;
         ++m_report.sends;
@@ -148,12 +176,12 @@
     {
         m_request.statistics->replyTimes.record(elapsed);
         if (auto* pool = m_context.fleet.find(searcher))
-            pool->recordRelativeLatency(static_cast<double>(elapsed.count()) / static_cast<double>(m_request.statistics->medianReplyTime(*m_request.matchedRoute).count()), monotonic_clock::now());
+            pool->recordRelativeLatency(static_cast<double>(elapsed.count()) / static_cast<double>(m_medianReplyTime.count()), monotonic_clock::now());
     }
 
     void acceptReply(part& part, searcher_reply reply)
     {
-        part.state = m_signatures.insert(reply.signature).second ? part_state::done : part_state::failed;
+        changeState(part, m_signatures.insert(reply.signature).second ? part_state::done : part_state::failed);
         part.reply = std::move(reply);
         cancelRunningCalls(part, supersededCallGrace);
     }
@@ -163,38 +191,26 @@
     bool retryPart(std::size_t index)
     {
         auto& part = m_parts[index];
-        part.state = part_state::waiting;
+        changeState(part, part_state::waiting);
         const auto now = monotonic_clock::now();
         if (part.possibleExecutions >= m_request.matchedRoute->maxAttempts || !canStillBeSent(part, now)) {
-            part.state = part_state::failed;
+            changeState(part, part_state::failed);
             return false;
         }
         return sendPart(index, now, "refused_or_broken");
     }
 
-    [[nodiscard]] gather_progress progress() const
-    {
-        gather_progress result;
-        for (const auto& part : m_parts) {
-            result.done += part.state == part_state::done ? 1U : 0U;
-            result.failed += part.state == part_state::failed ? 1U : 0U;
-            result.unsent += part.state == part_state::waiting ? 1U : 0U;
-        }
-        return result;
-    }
-
     // Ends the query if the policy says so; otherwise schedules the timer for the next moment at which that can change.
     void answerOrWait()
     {
         if (isFinished())
             return;
         const auto now = monotonic_clock::now();
-        const auto state = progress();
-        if (state.done >= m_policy.minimumParts())
+        if (m_progress.done >= m_policy.minimumParts())
             m_coverageReachedAt = std::min(m_coverageReachedAt, now);
-        if (m_policy.shouldAnswer(state, now))
+        if (m_policy.shouldAnswer(m_progress, now))
             answer(now);
-        else if (m_policy.cannotSucceed(state, now) || now >= m_request.deadline)
+        else if (m_policy.cannotSucceed(m_progress, now) || now >= m_request.deadline)
             fail(now);
         else
             scheduleTimer(now);
@@ -202,13 +218,15 @@
 
     void scheduleTimer(monotonic_time now)
     {
+        if (m_timerArmed && !m_timerOutdated && m_timerExpiry > now)
+            return; // a reply does not bring the next decision forward
+        m_timerOutdated = false;
         auto next = std::min(m_request.deadline, m_policy.nextDecisionTime(now));
-        const auto hedgeDelay = m_request.statistics->hedgeDelay(*m_request.matchedRoute);
         for (const auto& part : m_parts) {
             if (part.state == part_state::waiting)
                 next = std::min<monotonic_time>(next, now + unsentRetryInterval);
             else if (canHedge(part))
-                next = std::min<monotonic_time>(next, std::max<monotonic_time>(part.firstSentAt + hedgeDelay, now + hedgeRetryDelay(part, now, hedgeDelay)));
+                next = std::min<monotonic_time>(next, std::max<monotonic_time>(part.firstSentAt + m_hedgeDelay, now + hedgeRetryDelay(part, now)));
         }
         if (m_timerArmed && m_timerExpiry <= next && m_timerExpiry > now)
             return;
@@ -224,21 +242,20 @@
     [[nodiscard]] bool canHedge(const part& part) const { return part.state == part_state::running && part.runningCalls.size() == 1 && part.possibleExecutions < m_request.matchedRoute->maxAttempts; }
 
     // Returns the delay before a due hedge that could not be sent is tried again; zero if the hedge is not due yet.
-    static milliseconds hedgeRetryDelay(const part& part, monotonic_time now, microseconds hedgeDelay)
+    [[nodiscard]] milliseconds hedgeRetryDelay(const part& part, monotonic_time now) const
     {
-        return part.firstSentAt + hedgeDelay <= now ? unsentRetryInterval : milliseconds(0);
+        return part.firstSentAt + m_hedgeDelay <= now ? unsentRetryInterval : milliseconds(0);
     }
 
     void handleTimer()
     {
         m_timerArmed = false;
         const auto now = monotonic_clock::now();
-        const auto hedgeDelay = m_request.statistics->hedgeDelay(*m_request.matchedRoute);
         for (std::size_t index = 0; index < m_parts.size() && !isFinished(); ++index) {
             auto& part = m_parts[index];
             if (part.state == part_state::waiting && !sendPart(index, now, "searcher_back") && !canStillBeSent(part, now))
-                part.state = part_state::failed;
-            else if (canHedge(part) && now >= part.firstSentAt + hedgeDelay && sendPart(index, now, "late"))
+                changeState(part, part_state::failed);
+            else if (canHedge(part) && now >= part.firstSentAt + m_hedgeDelay && sendPart(index, now, "late"))
                 ++m_report.hedges;
         }
         answerOrWait();
@@ -267,7 +284,7 @@
 
     void fail(monotonic_time now)
     {
-        m_report.missingParts = m_parts.size() - progress().done;
+        m_report.missingParts = m_parts.size() - m_progress.done;
         m_report.lackedSearchers = true;
         logMissingParts(event::part_failed);
         const bool mayHaveBeenExecuted = std::any_of(m_parts.begin(), m_parts.end(), [](const auto& part) { return part.possibleExecutions > 0; });
@@ -333,10 +350,14 @@
     }
 
     gather_policy m_policy;
+    const microseconds m_hedgeDelay = m_request.statistics->hedgeDelay(*m_request.matchedRoute);
+    const microseconds m_medianReplyTime = m_request.statistics->medianReplyTime(*m_request.matchedRoute);
     std::vector<part> m_parts;
+    gather_progress m_progress;
     std::set<std::string> m_signatures; // of the completed parts; a reply with a known signature is rejected as a duplicate
     monotonic_time m_coverageReachedAt = monotonic_time::max(); // when the minimum coverage was reached
     bool m_timerArmed = false;
+    bool m_timerOutdated = false; // a part was sent or began to wait since the timer was set
     monotonic_time m_timerExpiry {};
     std::shared_ptr<query_handler> m_self; // keeps the handler alive until the query has ended
 };
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -173,6 +173,8 @@
     if (found == m_poolsByService.end())
         return earliest;
     for (const auto* pool : found->second) {
+        if (earliest <= now)
+            break;
         if (std::find(excluded.begin(), excluded.end(), pool->entry().id) == excluded.end())
             earliest = std::min(earliest, pool->sendableFrom(now));
     }
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -64,7 +64,7 @@
     // Returns the extra sends left in the current window, by service.
     [[nodiscard]] std::map<service_id, double> remainingExtraSends(monotonic_time now);
 
-    // Returns the budget for hedges and retries to a service. Creates it on first use.
+    // Returns the budget for hedges and retries to a service. Creates it on first use; the reference stays valid.
     retry_allowance& retryBudget(const service_id& service);
 
     // Closes idle and expired connections, opens a limited number of ready ones, and deletes the pools of removed
