The time that a client waited before its request arrived counts towards the objective

Change: the wait is estimated from the time left of the route's other requests, at most a quarter of the objective, and subtracted. The gateway test failed without the change.

--- a/include/limpetpier/coordination/gather_policy.h
+++ b/include/limpetpier/coordination/gather_policy.h
@@ -38,9 +38,9 @@
 class gather_policy {
 public:
     // minimumCoverage: fraction of the parts that an answer must contain, rounded up to a whole number of at least one
-    // part; objective: from the first byte of the client's request to its answer; delay: expected between the decision
-    // and the sending of the answer.
-    gather_policy(std::size_t parts, double minimumCoverage, monotonic_time arrived, milliseconds objective, microseconds delay);
+    // part; objective: from the first byte of the client's request to its answer; waited: by the client before its
+    // request arrived; delay: expected between the decision and the sending of the answer.
+    gather_policy(std::size_t parts, double minimumCoverage, monotonic_time arrived, milliseconds objective, milliseconds waited, microseconds delay);
 
     // True when the minimum coverage is reached and either no part is open or partialAnswerTime() has come.
     [[nodiscard]] bool shouldAnswer(const gather_progress& progress, monotonic_time now) const;
@@ -71,6 +71,9 @@
     // Compensates for at most this fraction (1/n) of the objective as delay.
     static constexpr int maxDelayDivisor = 8;
 
+    // Compensates for a client's wait of at most this fraction (1/n) of the objective.
+    static constexpr int maxWaitDivisor = 4;
+
     // Waits for a searcher to accept a part for this fraction (1/n) of the objective.
     static constexpr int unsentWaitDivisor = 5;
 
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -107,7 +107,9 @@
     if (isLogged(event::request_begun))
         logEvent(event::request_begun, event_fields().add("request", request->id).add("route", rule->name).add("table", m_view.table()->version().value()).add("time_left_ms", request->timeLeft.value_or(rule->timeout)).add("view_age_ms", m_view.age()));
     const auto timeLeft = std::min(rule->timeout, request->timeLeft.value_or(rule->timeout));
-    accepted_request run { std::move(request), m_view.table(), rule, &m_routeRecords[rule->name], now, now + timeLeft, std::move(call) };
+    auto& statistics = m_routeRecords[rule->name];
+    const auto waited = request->timeLeft ? statistics.clientWait.record(*request->timeLeft, rule->latencyObjective / gather_policy::maxWaitDivisor) : milliseconds(0);
+    accepted_request run { std::move(request), m_view.table(), rule, &statistics, now, waited, now + timeLeft, std::move(call) };
     if (rule->isQuery())
         startQuery(m_context, std::move(run));
     else
--- a/programs/gateway/query_handler.cc
+++ b/programs/gateway/query_handler.cc
@@ -17,7 +17,7 @@
 public:
     query_handler(request_handler_context& context, accepted_request request)
         : gateway_request_handler(context, std::move(request))
-        , m_policy(m_request.matchedRoute->shards.size(), m_request.matchedRoute->minCoverage, m_request.arrivedAt, m_request.matchedRoute->latencyObjective, m_request.statistics->answerDelay.expected())
+        , m_policy(m_request.matchedRoute->shards.size(), m_request.matchedRoute->minCoverage, m_request.arrivedAt, m_request.matchedRoute->latencyObjective, m_request.clientWaited, m_request.statistics->answerDelay.expected())
     {
         for (const auto& service : m_request.matchedRoute->shards)
             m_parts.push_back({ service, &m_context.fleet.retryBudget(service), part_state::waiting, {}, {}, 0, 0, {}, {} });
--- a/programs/gateway/request_handling.h
+++ b/programs/gateway/request_handling.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "limpetpier/coordination/client_wait_estimate.h"
 #include "limpetpier/coordination/gather_policy.h"
 #include "limpetpier/coordination/latency_histogram.h"
 #include "limpetpier/transport/client_listener.h"
@@ -16,6 +17,7 @@
 struct route_statistics {
     latency_histogram replyTimes;
     answer_delay answerDelay; // only of queries over many shards
+    client_wait_estimate clientWait;
 
     // Returns the time without a reply after which a send is hedged. It never exceeds half of the route's latency
     // objective.
@@ -60,6 +62,7 @@
     const route* matchedRoute = nullptr;
     route_statistics* statistics = nullptr;
     monotonic_time arrivedAt;
+    milliseconds clientWaited; // before the request arrived, as estimated
     monotonic_time deadline; // the earlier of the client's and the route's deadline
     client_call clientCall;
 };
--- a/src/coordination/gather_policy.cc
+++ b/src/coordination/gather_policy.cc
@@ -19,10 +19,10 @@
     m_expected += std::chrono::duration_cast<microseconds>(gain * (delay - m_expected));
 }
 
-gather_policy::gather_policy(std::size_t parts, double minimumCoverage, monotonic_time arrived, milliseconds objective, microseconds delay)
+gather_policy::gather_policy(std::size_t parts, double minimumCoverage, monotonic_time arrived, milliseconds objective, milliseconds waited, microseconds delay)
     : m_parts(parts)
     , m_minimumParts(std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(minimumCoverage * static_cast<double>(parts) - roundingTolerance))))
-    , m_partialAnswerTime(arrived + objective - answerMargin - std::min<microseconds>(delay, objective / maxDelayDivisor))
+    , m_partialAnswerTime(arrived + objective - std::min(waited, objective / maxWaitDivisor) - answerMargin - std::min<microseconds>(delay, objective / maxDelayDivisor))
     , m_unsentDeadline(arrived + objective / unsentWaitDivisor)
 {
 }
--- a/test/gateway_query_test.cc
+++ b/test/gateway_query_test.cc
@@ -263,3 +263,13 @@
     fixture.crashSearchers();
     CHECK_FALSE(fixture.becomesUnready(milliseconds(2500)));
 }
+
+TEST_CASE("A query whose client has already waited for a connection is answered earlier")
+{
+    query_fixture fixture;
+    fixture.setServiceBehaviour("c", searcher_behaviour::not_responding);
+    fixture.sendRequest("/query/x", "id1", "GET", 400);
+    const auto answer = fixture.sendRequest("/query/x", "id2", "GET", 375);
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.elapsed < milliseconds(85)); // 66 ms, and 91 ms without the client's wait
+}
--- a/test/gather_policy_test.cc
+++ b/test/gather_policy_test.cc
@@ -9,15 +9,15 @@
 const monotonic_time start { std::chrono::hours { 1 } };
 constexpr milliseconds objective { 80 };
 constexpr microseconds noDelay { 0 };
-const gather_policy policy(20, 0.89, start, objective, noDelay);
+const gather_policy policy(20, 0.89, start, objective, milliseconds(0), noDelay);
 
 } // namespace
 
 TEST_CASE("The minimum coverage is rounded up to a whole number of parts")
 {
     CHECK(policy.minimumParts() == 18);
-    CHECK(gather_policy(20, 0.85, start, objective, noDelay).minimumParts() == 17);
-    CHECK(gather_policy(3, 0, start, objective, noDelay).minimumParts() == 1);
+    CHECK(gather_policy(20, 0.85, start, objective, milliseconds(0), noDelay).minimumParts() == 17);
+    CHECK(gather_policy(3, 0, start, objective, milliseconds(0), noDelay).minimumParts() == 1);
 }
 
 TEST_CASE("All parts are waited for before the objective is nearly over")
@@ -48,7 +48,7 @@
     {
         for (int answer = 0; answer < 20; ++answer)
             delay.record(milliseconds(4));
-        const gather_policy delayed(20, 0.89, start, objective, delay.expected());
+        const gather_policy delayed(20, 0.89, start, objective, milliseconds(0), delay.expected());
         CHECK(delayed.partialAnswerTime() <= policy.partialAnswerTime() - milliseconds(3));
         CHECK(delayed.partialAnswerTime() >= policy.partialAnswerTime() - milliseconds(4));
     }
@@ -56,7 +56,7 @@
     SECTION("which is compensated only up to an eighth of the objective")
     {
         delay.record(milliseconds(500));
-        CHECK(gather_policy(20, 0.89, start, objective, delay.expected()).partialAnswerTime() == policy.partialAnswerTime() - objective / 8);
+        CHECK(gather_policy(20, 0.89, start, objective, milliseconds(0), delay.expected()).partialAnswerTime() == policy.partialAnswerTime() - objective / 8);
     }
 
     SECTION("which decreases slowly after a long delay")
@@ -85,10 +85,17 @@
 TEST_CASE("A query can be sent once enough of its parts can")
 {
     const monotonic_time now { std::chrono::hours(1) };
-    const gather_policy policy(4, 0.75, now, milliseconds(100), {});
+    const gather_policy policy(4, 0.75, now, milliseconds(100), milliseconds(0), {});
     const auto never = monotonic_time::max();
     CHECK(policy.coverageSendableFrom({ now, now, now, never }) == now);
     CHECK(policy.coverageSendableFrom({ never, now + milliseconds(20), now, now + milliseconds(10) }) == now + milliseconds(20));
     CHECK(policy.coverageSendableFrom({ now, never, now, never }) == never);
     CHECK(policy.coverageSendableFrom({}) == never);
 }
+
+TEST_CASE("The time that a client waited before its request arrived counts towards the objective")
+{
+    CHECK(gather_policy(20, 0.89, start, objective, milliseconds(7), noDelay).partialAnswerTime() == policy.partialAnswerTime() - milliseconds(7));
+    CHECK(gather_policy(20, 0.89, start, objective, milliseconds(70), noDelay).partialAnswerTime() == policy.partialAnswerTime() - objective / gather_policy::maxWaitDivisor);
+    CHECK(gather_policy(20, 0.89, start, objective, milliseconds(7), noDelay).unsentDeadline() == policy.unsentDeadline());
+}
