limpetctl reports the revision at which its edit was accepted, also after a lost answer

Cause: after a lost answer the tool finds its edit in the document and reported the document's current revision, which is a later edit's once others have gone on. Change: the revision follows from the edit's place in the list of edits.

--- a/programs/ctl/document_editor.cc
+++ b/programs/ctl/document_editor.cc
@@ -1,5 +1,6 @@
 #include "document_editor.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 
 #include "limpetpier/state/errors.h"
@@ -17,6 +18,15 @@
     return stored.version == 0 ? operator_document {} : parseDocument(stored.text);
 }
 
+// Returns the revision that an accepted edit produced. Each edit raises the revision by one and is listed in order, so
+// later edits of others are told by the ids after this one.
+revision_number acceptedRevision(const operator_document& document, const edit_id& id)
+{
+    const auto& edits = document.recentEdits;
+    const auto laterEdits = std::distance(std::find(edits.begin(), edits.end(), id), edits.end()) - 1;
+    return revision_number { document.revision.value() - static_cast<std::uint64_t>(laterEdits) };
+}
+
 } // namespace
 
 document_editor::document_editor(asio::any_io_executor executor, const std::string& storeAddress)
@@ -39,7 +49,7 @@
             const auto stored = co_await m_store.get(documentKey);
             const auto current = parseStored(stored);
             if (containsEdit(current, edit.id))
-                co_return edit_result { current.revision, current.sections.at(edit.section).version, isReplyLost };
+                co_return edit_result { acceptedRevision(current, edit.id), current.sections.at(edit.section).version, isReplyLost };
             const auto next = applyEdit(current, edit);
             isReplyLost = true;
             if (co_await m_store.compareAndSwap(documentKey, stored.version, formatDocument(next)))
