An entry of a searcher does not replace what a health check found out; isolated gateways keep their connections

Entries arrive up to 1.5 s late, so the entry of one start could open the way to a cold searcher that had restarted again. Change: only a health check verifies, and the later of both cold times holds. The tests failed before.

--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -43,7 +43,7 @@
     , m_protocol(protocol)
     , m_settings(std::move(settings))
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
-    , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); }, 0, false }
+    , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); }, 0 }
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
     , m_clientListener(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readinessListener(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
@@ -208,7 +208,6 @@
     m_view.maintain(now);
     refreshFleet();
     m_fleet.maintain(now);
-    m_context.closesConnections = m_view.table() && isIsolated();
     flushLog();
     m_maintenanceTimer.expires_after(maintenanceInterval);
     m_maintenanceTimer.async_wait([this](const boost::system::error_code& cancelled) {
--- a/programs/gateway/gateway_request_handler.cc
+++ b/programs/gateway/gateway_request_handler.cc
@@ -72,7 +72,6 @@
     if (m_finished)
         return false;
     recordEnd(outcome, reply.status);
-    reply.close = reply.close || m_context.closesConnections;
     m_request.clientCall.answer(std::move(reply));
     return true;
 }
--- a/programs/gateway/request_handling.h
+++ b/programs/gateway/request_handling.h
@@ -52,7 +52,6 @@
     searcher_fleet& fleet;
     std::function<void(const request_report&)> report; // called once for each request, when it ends
     std::size_t activeRequests = 0;
-    bool closesConnections = false; // after each answer, so that clients turn to other gateways
 };
 
 // A client request with its matched route, as passed to a handler.
--- a/programs/gateway/searcher_connection_pool.cc
+++ b/programs/gateway/searcher_connection_pool.cc
@@ -83,8 +83,7 @@
         ++m_incarnation;
         m_restriction.reset();
         closeIdleConnections();
-        m_verified = true; // the new entry states how long it is cold
-        m_reconnectAt = {};
+        m_reconnectAt = {}; // an unverified searcher is checked nevertheless: it may have restarted since the entry was written
     }
     if (m_entry.draining)
         closeIdleConnections();
@@ -107,7 +106,7 @@
 {
     if (!isReachable(now))
         return false;
-    if (now < m_coldUntil && !m_coldRequests.allows(now))
+    if (isCold(now) && !m_coldRequests.allows(now))
         return false;
     if (findIdleConnection(now))
         return true;
@@ -192,7 +191,7 @@
 void searcher_connection_pool::writeCall(const pooled_connection_ptr& idle, const call_handle& call)
 {
     const auto now = monotonic_clock::now();
-    if (now < m_coldUntil) {
+    if (isCold(now)) {
         if (!m_coldRequests.allows(now)) {
             call->finished = true;
             call->onResult({});
@@ -372,7 +371,7 @@
     m_reconnectDelay = initialReconnectDelay;
     m_reconnectAt = {};
     opened->idleSince = monotonic_clock::now();
-    m_coldUntil = std::max(m_coldUntil, monotonic_clock::now() + report.coldTimeLeft);
+    m_reportedColdUntil = monotonic_clock::now() + report.coldTimeLeft;
     sendQueuedCalls();
 }
 
--- a/programs/gateway/searcher_connection_pool.h
+++ b/programs/gateway/searcher_connection_pool.h
@@ -96,6 +96,7 @@
     };
     using pooled_connection_ptr = std::shared_ptr<pooled_connection>;
 
+    [[nodiscard]] bool isCold(monotonic_time now) const { return now < std::max(m_coldUntil, m_reportedColdUntil); }
     [[nodiscard]] bool shouldClose(const pooled_connection& connection, monotonic_time now) const;
     void openConnection();
     void handleOpened(const pooled_connection_ptr& opened, bool success);
@@ -119,7 +120,8 @@
     asio::any_io_executor m_executor;
     const gateway_protocol& m_protocol;
     searcher_entry m_entry;
-    monotonic_time m_coldUntil {};
+    monotonic_time m_coldUntil {}; // according to its entry
+    monotonic_time m_reportedColdUntil {}; // according to its last health check; an entry may be older
     cold_allowance m_coldRequests;
     searcher_limits m_limits;
     send_restriction m_restriction;
--- a/test/searcher_connection_pool_test.cc
+++ b/test/searcher_connection_pool_test.cc
@@ -274,3 +274,37 @@
     CHECK(fixture.searcher.healthChecks() == 2);
     CHECK(fixture.pool.isUsable(monotonic_clock::now()));
 }
+
+TEST_CASE("An entry may be older than what a health check found out")
+{
+    pool_fixture fixture;
+    auto entry = fixture.makeEntry();
+    entry.startTimeMs = 17;
+    fixture.pool.update(entry, {});
+    fixture.keepReady();
+    fixture.searcher.setCold(4000);
+    fixture.pool.setEvacuated(true);
+    fixture.pool.setEvacuated(false);
+    entry.startTimeMs = 18; // of a start that has ended, as the searcher has restarted again
+
+    SECTION("a searcher that must be checked is checked, although an entry of another start arrives")
+    {
+        fixture.pool.update(entry, {});
+        CHECK_FALSE(fixture.pool.isUsable(monotonic_clock::now()));
+        fixture.pool.maintain(monotonic_clock::now());
+        fixture.runFor(milliseconds(40));
+        CHECK(fixture.searcher.healthChecks() == 1);
+    }
+    SECTION("a searcher that said that it is cold stays cold")
+    {
+        fixture.pool.maintain(monotonic_clock::now());
+        fixture.runFor(milliseconds(40));
+        REQUIRE(fixture.searcher.healthChecks() == 1);
+        REQUIRE_FALSE(fixture.pool.isUsable(monotonic_clock::now()));
+        fixture.pool.update(entry, {});
+        CHECK_FALSE(fixture.pool.isUsable(monotonic_clock::now()));
+        entry.slots = 3;
+        fixture.pool.update(entry, {});
+        CHECK_FALSE(fixture.pool.isUsable(monotonic_clock::now()));
+    }
+}
