--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,27 +1,32 @@
-# Runs a case with one gateway: run_case PROGRAM. Sourced by the run.sh of each case, with case_dir set to its folder.
+# Runs a case: run_case PROGRAM. The program writes one settings file for each gateway: node.toml, node.toml.1 and so on. Sourced by the run.sh of each case, with case_dir set to its folder.
 # Starts the gateway with the command of deploy/system.toml, on a loopback address of its own; ends what it started.
 run_case() {
-  local program=target/review/$1 trouble=${TROUBLE:-1} ip dir standin gateway status run
+  local program=target/review/$1 trouble=${TROUBLE:-1} ip dir standin gateway status run file
   local pids=()
   [ -x "$program" ] && [ -x target/limpet-gateway ] || { echo "build first: the build of deploy/system.toml, then review/build.sh"; return 2; }
   run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
-  ip=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1)).$((RANDOM % 250 + 1))
+  ip=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1)).$((RANDOM % 200 + 1))
   dir=$(mktemp -d)
   "$program" "$ip" 8104 "$dir/node.toml" "$case_dir/record.txt" "$trouble" &
   standin=$!
   for _ in $(seq 50); do [ -s "$dir/node.toml" ] && break; sleep 0.1; done
-  LIMPETPIER_NODE_FILE=$dir/node.toml LIMPET_NODE_SECRET=review-secret $run >"$dir/gateway.log" 2>&1 &
-  gateway=$!
+  sleep 0.2
+  for file in "$dir"/node.toml*; do
+    LIMPETPIER_NODE_FILE=$file LIMPET_NODE_SECRET=review-secret $run >"$file.log" 2>&1 &
+    pids+=($!)
+  done
   # The stand-in ends by itself; after 110 s the case could not run.
   (sleep 110; kill "$standin" 2>/dev/null) &
   local guard=$!
   status=0
   wait "$standin" || status=$?
   kill "$guard" 2>/dev/null || true
-  kill -0 "$gateway" 2>/dev/null || { echo "the gateway has ended by itself"; status=2; }
-  kill -KILL "$gateway" 2>/dev/null || true
-  wait "$gateway" 2>/dev/null || true
-  [ -z "${KEEP_LOG:-}" ] || cp "$dir/gateway.log" "$KEEP_LOG"
+  for gateway in "${pids[@]}"; do
+    kill -0 "$gateway" 2>/dev/null || { echo "a gateway has ended by itself"; status=2; }
+    kill -KILL "$gateway" 2>/dev/null || true
+    wait "$gateway" 2>/dev/null || true
+  done
+  [ -z "${KEEP_LOG:-}" ] || cat "$dir"/*.log >"$KEEP_LOG"
   rm -rf "$dir"
   [ "$status" -le 1 ] || status=2
   return "$status"
