--- a/review/standins/cold_restart.cc
+++ b/review/standins/cold_restart.cc
@@ -146,12 +146,16 @@
     // The release of another service: a searcher every 400 ms, alternately a new one registers and an old one leaves.
     boost::asio::steady_timer releaseTimer(io);
     int released = 0;
+    std::list<raw_server> others; // of the other service; they get no requests
     std::function<void()> release = [&] {
         const auto number = released / 2;
-        if (released++ % 2 == 0)
-            writeEntry("l-" + std::to_string(number), "livraison", "127.0.0.1:9", 3000, ++boots);
-        else
+        if (released++ % 2 == 0) {
+            others.emplace_back(io, 0, [](const http_request&, const raw_exchange_handle&) {});
+            writeEntry("l-" + std::to_string(number), "livraison", others.back().address(), 3000, ++boots);
+        } else
             store.remove("servers/l-" + std::to_string(number - 2));
+        if (others.size() > 50)
+            others.pop_front();
         releaseTimer.expires_after(400ms);
         releaseTimer.async_wait([&](const boost::system::error_code&) { release(); });
     };
