Time removals around an outage from the end of the outage

What callers saw: after the store had turned a machine away, the machine went on sending to searchers that had left, up to 3.7 s after the removal of their entries; a searcher may exit after 3 s, and requests that reach it then are lost.

Cause: entries of live searchers expire in an outage and come back within about 2 s of its end, so removals that are read around an outage are delayed. The delay of 2.2 s was counted from when a removal was read, which the batch delay puts up to 1.5 s after it was made, and every failed call counted as an outage, also one cut watch.

Evidence: a new log line, searcher_removal_delayed, shows for_ms=2200 2.28 s after store_up, and searcher_gone at 4.51 s.

Fix: outage_record decides until when a removal can be the effect of an outage: a fixed time after the first answer that ended it, and never after a failure shorter than the shortest outage in which an entry can expire. The sum no longer depends on when a removal is read: 1.5 s of batch delay, or 2.2 s after the outage. Restored entries are read before that time.

The new gateway_view_test case fails in its three sections on the old code (20 of 20 requests reach the removed searcher). searcher_directory_test: the grace period became a time that the caller gives; the checks are the same, one is added.

--- a/include/limpetpier/state/searcher_directory.h
+++ b/include/limpetpier/state/searcher_directory.h
@@ -27,8 +27,8 @@
 
 // The searchers of the deployment as last read from the platform's store.
 //
-// During an outage of the store, entries may expire although their searchers are alive. Removals seen after an outage
-// are therefore delayed by expiryGracePeriod, in which such a searcher can register again.
+// During an outage of the store, entries may expire although their searchers are alive. A removal that may be the effect
+// of an outage is therefore delayed, so that the entry can be restored.
 class searcher_directory {
 public:
     // An entry with the local times derived from it.
@@ -41,22 +41,19 @@
     // Adds or replaces an entry and cancels its delayed removal. Returns whether this changed anything.
     bool put(const searcher_entry& entry, monotonic_time now);
 
-    // Removes an entry: immediately, or after expiryGracePeriod if afterOutage is set.
-    void remove(const searcher_id& searcher, monotonic_time now, bool afterOutage);
+    // Removes an entry at keepUntil, immediately if that is not later than now. A delay that has begun is not prolonged.
+    // Returns whether the removal is delayed.
+    bool remove(const searcher_id& searcher, monotonic_time now, monotonic_time keepUntil);
 
     // Replaces the contents of the directory, removing absent entries as remove() does. Returns the searchers whose
     // entries were added, changed or are absent.
-    std::set<searcher_id> replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage);
+    std::set<searcher_id> replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, monotonic_time keepUntil);
 
-    // Removes the entries whose grace period has ended and returns their searchers.
+    // Removes the entries whose delay has ended and returns their searchers.
     std::set<searcher_id> expire(monotonic_time now);
 
     [[nodiscard]] const std::map<searcher_id, record>& records() const { return m_records; }
 
-    // Time for an expired entry to reappear after an outage. The platform restores entries within about two seconds of the
-    // store's recovery.
-    static constexpr milliseconds expiryGracePeriod { 2200 };
-
     // Maximum time from the writing of an entry until it is read here while the store is available.
     static constexpr milliseconds maxReportDelay { 1500 };
 
--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "limpetpier/coordination/outage_record.h"
 #include "limpetpier/transport/metadata_store.h"
 
 namespace limpetpier {
@@ -14,6 +15,7 @@
 struct follow_policy {
     milliseconds watchTimeout { 2000 }; // longest wait of one watch for a change
     milliseconds batchDelay { 0 }; // from changes to the next watch; changes within it arrive in one answer
+    milliseconds minExpiryOutage { 0 }; // shortest outage of the store in which a key that is kept alive can expire
 };
 
 // Follows all keys with a prefix: reads them, then watches for changes, and reads them again when the store no longer has
@@ -23,11 +25,11 @@
 public:
     // Callbacks for the owner of the copy. All must be set.
     struct handlers {
-        // Receives all keys after a read. afterOutage: this is not the first read, and an outage ended less than
-        // outageRemovalWindow ago.
-        std::function<void(const std::vector<store_item>&, bool afterOutage)> onSnapshot;
-        // Receives a changed or removed key. afterOutage: an outage ended less than outageRemovalWindow ago.
-        std::function<void(const store_item&, bool afterOutage)> onChange;
+        // Receives all keys after a read. Until keepRemovedUntil, a missing key may be one that expired during an outage
+        // and comes back; not later than the present if no key can have expired that way.
+        std::function<void(const std::vector<store_item>&, monotonic_time keepRemovedUntil)> onSnapshot;
+        // Receives a changed or removed key; keepRemovedUntil as above.
+        std::function<void(const store_item&, monotonic_time keepRemovedUntil)> onChange;
         // Called when the store becomes unreachable or reachable.
         std::function<void(bool reachable)> onReachabilityChange;
     };
@@ -37,13 +39,13 @@
     // Starts reading.
     void start();
 
-    // Reports that another call to the store failed. A pending watch does not notice an outage; this marks the store as
-    // unreachable, so that the next answer counts as the end of the outage.
-    void reportCallFailed();
+    // Reports that another call to the store, sent at the given time, failed. A pending watch does not notice an outage;
+    // this marks the store as unreachable, so that the next answer counts as the end of the outage.
+    void reportCallFailed(monotonic_time sentAt) { markUnreachable(sentAt); }
 
-    // Reports that another call to the store succeeded. After an outage a pending watch is abandoned for a new one, since
+    // Reports that the store answered another call. After an outage a pending watch is abandoned for a new one, since
     // a watch that was sent during an outage may never be answered.
-    void reportCallSucceeded();
+    void reportCallAnswered();
 
     // Reports a revision that the store has reached. If the pending watch does not answer within missedChangeTimeout, it
     // is abandoned and all keys are read again, since another watch could miss changes as well.
@@ -53,7 +55,7 @@
     [[nodiscard]] bool hasRead() const { return m_hasRead; }
 
     // Returns false from a failed call until the next successful read or watch.
-    [[nodiscard]] bool isReachable() const { return m_isReachable; }
+    [[nodiscard]] bool isReachable() const { return m_outages.isAvailable(); }
 
     // Returns the time of the last successful read or watch, or the zero time if there was none.
     [[nodiscard]] monotonic_time lastAnswer() const { return m_lastAnswer; }
@@ -65,9 +67,6 @@
     static constexpr milliseconds initialRetryDelay { 100 };
     static constexpr milliseconds maxRetryDelay { 800 };
 
-    // For this long after the end of an outage, removals are attributed to leases that expired during it.
-    static constexpr milliseconds outageRemovalWindow { 2500 };
-
     // Time that a pending watch has to answer after another call has shown a newer revision.
     static constexpr milliseconds missedChangeTimeout { 300 };
 
@@ -76,16 +75,17 @@
 
 private:
     void readPage(const std::string& after);
-    void handlePage(store_result result, store_page page);
+    void handlePage(store_page page);
     void watch() { watchFor(m_policy.watchTimeout); }
     void watchFor(milliseconds wait);
     void abandonWatch();
-    void handleChanges(store_result result, const store_page& page);
-    void handleFailure();
+    void handleChanges(store_result result, const store_page& page, monotonic_time sentAt);
+    void markUnreachable(monotonic_time since);
+    void handleFailure(monotonic_time unavailableSince);
     void handleSuccess();
+    [[nodiscard]] milliseconds nextBatchDelay() const;
     void scheduleStep(milliseconds delay, void (store_follower::*step)());
     void reload();
-    [[nodiscard]] bool isAfterOutage() const;
 
     metadata_store& m_store;
     boost::asio::steady_timer m_timer;
@@ -97,10 +97,9 @@
     bool m_hasRead = false;
     bool m_isLoaded = false; // all keys were read; a watch follows
     bool m_isWatchPending = false; // a watch is pending and has not missed a known revision
-    bool m_isReachable = true;
+    outage_record m_outages;
     milliseconds m_retryDelay = initialRetryDelay;
     monotonic_time m_lastAnswer {};
-    monotonic_time m_outageEnd {};
     std::uint64_t m_callId = 0; // of the latest call; answers to earlier calls are ignored
 };
 
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -46,9 +46,9 @@
     , m_protocol(protocol)
     , m_settings(settings)
     , m_share({ settings.node, settings.zone }, {})
-    , m_storeFollower(executor, store, {}, { maxWatchWait, settings.changeBatchDelay },
-          { [this](const std::vector<store_item>& items, bool afterOutage) { replaceContents(items, afterOutage); },
-              [this](const store_item& item, bool afterOutage) { apply(item, afterOutage); }, std::move(onReachable) })
+    , m_storeFollower(executor, store, {}, { maxWatchWait, settings.changeBatchDelay, settings.minExpiryOutage },
+          { [this](const std::vector<store_item>& items, monotonic_time keepRemovedUntil) { replaceContents(items, keepRemovedUntil); },
+              [this](const store_item& item, monotonic_time keepRemovedUntil) { apply(item, keepRemovedUntil); }, std::move(onReachable) })
     , m_membership(executor, store, m_storeFollower, { settings.node, settings.zone }, settings.peerAddress, settings.membershipTiming)
 {
 }
@@ -77,30 +77,30 @@
     return m_storeFollower.hasRead() ? std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - m_storeFollower.lastAnswer()) : milliseconds(-1);
 }
 
-void deployment_view::replaceContents(const std::vector<store_item>& items, bool afterOutage)
+void deployment_view::replaceContents(const std::vector<store_item>& items, monotonic_time keepRemovedUntil)
 {
     m_evacuatedZones.clear();
     m_membership.clear();
     std::vector<searcher_entry> entries;
     for (const auto& item : items) {
         if (!item.key.starts_with(m_protocol.searcherPrefix()))
-            apply(item, afterOutage);
+            apply(item, keepRemovedUntil);
         else if (auto entry = readSearcher(item))
             entries.push_back(std::move(*entry));
     }
-    m_changes.searchers.merge(m_directory.replaceAll(entries, monotonic_clock::now(), afterOutage));
+    m_changes.searchers.merge(m_directory.replaceAll(entries, monotonic_clock::now(), keepRemovedUntil));
     m_changes.rules = true;
     const bool wasListedBefore = !m_settled && m_membership.members().contains(m_settings.node);
     updateMembers();
     m_settled = m_settled || wasListedBefore; // after a restart the list from before it is still complete
 }
 
-void deployment_view::apply(const store_item& item, bool afterOutage)
+void deployment_view::apply(const store_item& item, monotonic_time keepRemovedUntil)
 {
     if (item.key.starts_with(m_protocol.operatorPrefix()))
         applyOperator(item);
     else if (item.key.starts_with(m_protocol.searcherPrefix()))
-        applySearcher(item, afterOutage);
+        applySearcher(item, keepRemovedUntil);
     else if (membership::isMemberKey(item.key)) {
         m_membership.apply(item);
         m_membersChanged = true;
@@ -149,7 +149,7 @@
     }
 }
 
-void deployment_view::applySearcher(const store_item& item, bool afterOutage)
+void deployment_view::applySearcher(const store_item& item, monotonic_time keepRemovedUntil)
 {
     const auto now = monotonic_clock::now();
     std::optional<searcher_entry> entry;
@@ -161,7 +161,8 @@
         return;
     }
     const searcher_id removedId(item.key.substr(m_protocol.searcherPrefix().size()));
-    m_directory.remove(removedId, now, afterOutage);
+    if (m_directory.remove(removedId, now, keepRemovedUntil))
+        logEvent(event::searcher_removal_delayed, event_fields().add("searcher", removedId.value()).add("for_ms", std::chrono::duration_cast<milliseconds>(keepRemovedUntil - now)));
     m_changes.searchers.insert(removedId);
 }
 
@@ -248,7 +249,7 @@
             logEvent(event::entry_unreadable, event_fields().add("key", searcher.id.value()).add("error", error.what()));
         }
     }
-    m_changes.searchers.merge(m_directory.replaceAll(entries, now, false));
+    m_changes.searchers.merge(m_directory.replaceAll(entries, now, now));
     m_membership.clear();
     for (std::size_t index = 0; index < view.members.size(); ++index)
         m_membership.put(view.members[index], view.memberEntries[index]);
--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -70,11 +70,11 @@
     void notifyBoundsChanged() { m_changes.rules = true; }
 
 private:
-    void replaceContents(const std::vector<store_item>& items, bool afterOutage);
-    void apply(const store_item& item, bool afterOutage);
+    void replaceContents(const std::vector<store_item>& items, monotonic_time keepRemovedUntil);
+    void apply(const store_item& item, monotonic_time keepRemovedUntil);
     void applyOperator(const store_item& item);
     void adoptTable(const std::string& text);
-    void applySearcher(const store_item& item, bool afterOutage);
+    void applySearcher(const store_item& item, monotonic_time keepRemovedUntil);
     std::optional<searcher_entry> readSearcher(const store_item& item) const;
     void updateMembers();
     void updateSettled(monotonic_time now);
--- a/programs/gateway/gateway_settings.h
+++ b/programs/gateway/gateway_settings.h
@@ -22,6 +22,7 @@
     milliseconds stopGrace { 6000 }; // from the termination signal to the forced exit
     membership_timing membershipTiming;
     milliseconds changeBatchDelay { 700 }; // changes in the store are collected for this long and read in one call
+    milliseconds minExpiryOutage { 800 }; // shortest outage of the store in which the entry of a live searcher can expire
     milliseconds memberSettleTime { 800 }; // at startup, the member list is complete after this long without a change
 };
 
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -37,6 +37,10 @@
 // before that.
 constexpr int heartbeatsUntilExpiry = 3;
 
+// Heartbeats in a row that a searcher may miss around an outage of the store: the one that was due when it began and the
+// one that is due when it ends.
+constexpr int heartbeatsMissedAround = 2;
+
 // Time between the detection of an outage and the first expiry.
 constexpr milliseconds expiryMargin { 600 };
 
@@ -62,6 +66,7 @@
     settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack };
     settings.changeBatchDelay = std::min(node.drainBound, node.configApplyBound) * changeBatchPercent / 100;
     settings.membershipTiming.watchCheckInterval = std::min(node.drainBound, node.configApplyBound) * watchCheckPercent / 100;
+    settings.minExpiryOutage = node.searcherHeartbeat * (heartbeatsUntilExpiry - heartbeatsMissedAround);
     settings.stopGrace = node.stopGrace;
     settings.membershipTiming.leaseTtl = node.minLeaseTtl * leaseTtlFactor;
     settings.membershipTiming.renewalInterval = settings.membershipTiming.leaseTtl / renewalsPerLease;
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -77,7 +77,7 @@
 void membership::renew()
 {
     m_renewing = true;
-    m_store.renewLease(m_lease, [this](store_result result) {
+    m_store.renewLease(m_lease, [this, sentAt = monotonic_clock::now()](store_result result) {
         m_renewing = false;
         if (m_leaving)
             return;
@@ -86,11 +86,11 @@
             return;
         }
         if (result != store_result::ok) {
-            m_follower.reportCallFailed();
+            m_follower.reportCallFailed(sentAt);
             scheduleStep(retryDelay, &membership::renew);
             return;
         }
-        m_follower.reportCallSucceeded();
+        m_follower.reportCallAnswered();
         const auto now = monotonic_clock::now();
         const bool isSilent = now - lastStoreAnswer() >= m_timing.silenceTimeout;
         m_renewedAt = now;
@@ -106,11 +106,11 @@
 void membership::checkWatch()
 {
     m_watchCheckedAt = monotonic_clock::now();
-    m_store.readRevision(memberKeyPrefix + m_ownId.value(), [this](store_result result, store_revision revision) {
+    m_store.readRevision(memberKeyPrefix + m_ownId.value(), [this, sentAt = m_watchCheckedAt](store_result result, store_revision revision) {
         if (m_leaving)
             return;
         if (result != store_result::ok) {
-            m_follower.reportCallFailed();
+            m_follower.reportCallFailed(sentAt);
             scheduleStep(retryDelay, &membership::renew);
             return;
         }
--- a/src/state/searcher_directory.cc
+++ b/src/state/searcher_directory.cc
@@ -31,20 +31,22 @@
     return changed;
 }
 
-void searcher_directory::remove(const searcher_id& searcher, monotonic_time now, bool afterOutage)
+bool searcher_directory::remove(const searcher_id& searcher, monotonic_time now, monotonic_time keepUntil)
 {
     const auto found = m_records.find(searcher);
     if (found == m_records.end())
-        return;
-    if (!afterOutage)
+        return false;
+    auto& removeAt = found->second.removeAt;
+    removeAt = std::min(removeAt.value_or(keepUntil), keepUntil);
+    if (*removeAt <= now) {
         m_records.erase(found);
-    else if (!found->second.removeAt) {
-        found->second.removeAt = now + expiryGracePeriod;
-        m_nextRemoval = std::min(m_nextRemoval, *found->second.removeAt);
+        return false;
     }
+    m_nextRemoval = std::min(m_nextRemoval, *removeAt);
+    return true;
 }
 
-std::set<searcher_id> searcher_directory::replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, bool afterOutage)
+std::set<searcher_id> searcher_directory::replaceAll(const std::vector<searcher_entry>& entries, monotonic_time now, monotonic_time keepUntil)
 {
     std::set<searcher_id> present;
     std::set<searcher_id> changed;
@@ -59,7 +61,7 @@
             absent.push_back(id);
     }
     for (const auto& id : absent) {
-        remove(id, now, afterOutage);
+        remove(id, now, keepUntil);
         changed.insert(id);
     }
     return changed;
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -12,6 +12,7 @@
     , m_prefix(std::move(prefix))
     , m_policy(policy)
     , m_handlers(std::move(callbacks))
+    , m_outages(policy.minExpiryOutage)
 {
 }
 
@@ -30,18 +31,18 @@
 
 void store_follower::readPage(const std::string& after)
 {
-    m_store.readRange(m_prefix, after, [this, callId = ++m_callId](store_result result, store_page page) {
-        if (callId == m_callId)
-            handlePage(result, std::move(page));
+    m_store.readRange(m_prefix, after, [this, callId = ++m_callId, sentAt = monotonic_clock::now()](store_result result, store_page page) {
+        if (callId != m_callId)
+            return;
+        if (result == store_result::ok)
+            handlePage(std::move(page));
+        else
+            handleFailure(sentAt);
     });
 }
 
-void store_follower::handlePage(store_result result, store_page page)
+void store_follower::handlePage(store_page page)
 {
-    if (result != store_result::ok) {
-        handleFailure();
-        return;
-    }
     // The pages are not a consistent snapshot. Watching from the first page's revision delivers the changes that occurred
     // between the pages.
     if (m_loadedItems.empty())
@@ -52,24 +53,23 @@
         return;
     }
     handleSuccess();
-    const bool afterOutage = m_hasRead && isAfterOutage();
     m_hasRead = true;
     m_isLoaded = true;
     const auto items = std::exchange(m_loadedItems, {});
-    m_handlers.onSnapshot(items, afterOutage);
+    m_handlers.onSnapshot(items, m_outages.keepRemovedUntil());
     watch();
 }
 
 void store_follower::watchFor(milliseconds wait)
 {
     m_isWatchPending = true;
-    m_store.watch(m_prefix, m_revision, wait, [this, callId = ++m_callId](store_result result, const store_page& page) {
+    m_store.watch(m_prefix, m_revision, wait, [this, callId = ++m_callId, sentAt = monotonic_clock::now()](store_result result, const store_page& page) {
         if (callId == m_callId)
-            handleChanges(result, page);
+            handleChanges(result, page, sentAt);
     });
 }
 
-void store_follower::handleChanges(store_result result, const store_page& page)
+void store_follower::handleChanges(store_result result, const store_page& page, monotonic_time sentAt)
 {
     m_isWatchPending = false;
     m_timer.cancel();
@@ -79,30 +79,39 @@
         return;
     }
     if (result != store_result::ok) {
-        handleFailure();
+        // A watch without an answer was cut while it waited, which tells nothing about the time before.
+        handleFailure(result == store_result::no_answer ? monotonic_clock::now() : sentAt);
         return;
     }
     handleSuccess();
     m_revision = std::max(m_revision, page.revision);
     for (const auto& item : page.items)
-        m_handlers.onChange(item, isAfterOutage());
+        m_handlers.onChange(item, m_outages.keepRemovedUntil());
     const bool isBacklog = page.items.size() >= backlogThreshold;
     if (m_policy.batchDelay.count() > 0 && !page.items.empty() && !isBacklog)
-        scheduleStep(m_policy.batchDelay, &store_follower::watch);
+        scheduleStep(nextBatchDelay(), &store_follower::watch);
     else
         watch();
 }
 
-void store_follower::reportCallFailed()
+// Entries that come back after an outage are read before searchers whose entries are still missing are removed.
+milliseconds store_follower::nextBatchDelay() const
 {
-    if (!std::exchange(m_isReachable, false))
-        return;
-    m_handlers.onReachabilityChange(false);
+    const auto now = monotonic_clock::now();
+    if (m_outages.restoredBy() <= now)
+        return m_policy.batchDelay;
+    return std::min(m_policy.batchDelay, std::chrono::ceil<milliseconds>(m_outages.restoredBy() - now));
+}
+
+void store_follower::markUnreachable(monotonic_time since)
+{
+    if (m_outages.recordFailure(since))
+        m_handlers.onReachabilityChange(false);
 }
 
-void store_follower::reportCallSucceeded()
+void store_follower::reportCallAnswered()
 {
-    if (m_isReachable)
+    if (isReachable())
         return;
     m_timer.cancel();
     if (m_isLoaded)
@@ -125,9 +134,9 @@
     reload();
 }
 
-void store_follower::handleFailure()
+void store_follower::handleFailure(monotonic_time unavailableSince)
 {
-    reportCallFailed();
+    markUnreachable(unavailableSince);
     const auto delay = m_retryDelay;
     m_retryDelay = std::min(maxRetryDelay, m_retryDelay * 2);
     scheduleStep(delay, m_isLoaded ? &store_follower::watch : &store_follower::reload);
@@ -137,16 +146,8 @@
 {
     m_lastAnswer = monotonic_clock::now();
     m_retryDelay = initialRetryDelay;
-    if (m_isReachable)
-        return;
-    m_isReachable = true;
-    m_outageEnd = m_lastAnswer;
-    m_handlers.onReachabilityChange(true);
-}
-
-bool store_follower::isAfterOutage() const
-{
-    return m_outageEnd != monotonic_time {} && monotonic_clock::now() - m_outageEnd < outageRemovalWindow;
+    if (m_outages.recordAnswer(m_lastAnswer))
+        m_handlers.onReachabilityChange(true);
 }
 
 void store_follower::scheduleStep(milliseconds delay, void (store_follower::*step)())
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -17,9 +17,10 @@
 // Gateway with two searchers of service "a" and a configuration of version 5.
 class view_fixture : public standins::gateway_fixture {
 public:
-    explicit view_fixture(const std::string& nodeSecret = "", milliseconds silence = milliseconds(200))
+    explicit view_fixture(const std::string& nodeSecret = "", milliseconds silence = milliseconds(200), milliseconds changeBatchDelay = milliseconds(700))
     {
         settings.nodeSecret = nodeSecret;
+        settings.changeBatchDelay = changeBatchDelay;
         silenceTimeout = silence;
         settings.membershipTiming.renewalInterval = std::max(settings.membershipTiming.renewalInterval, silence);
         addSearcher("a", "a1", "z");
@@ -197,6 +198,71 @@
 
 namespace {
 
+// Longest time that a searcher serves after its entry was removed, on the deployments with the shortest one.
+constexpr milliseconds drainBound { 3000 };
+
+// The batch delay that follows from that bound.
+constexpr milliseconds drainBatchDelay { 1500 };
+
+} // namespace
+
+// Guards against requests to searchers that left after an outage: the time in which their entries may come back was
+// counted from when a removal was read, not from the end of the outage.
+TEST_CASE("A searcher that leaves around an outage gets no requests after the bound for draining")
+{
+    view_fixture fixture("", milliseconds(200), drainBatchDelay);
+    fixture.addSearcher("a", "a3", "z");
+    fixture.runFor(2 * drainBatchDelay); // until the watch is pending
+    const auto registerAndRemove = [&] {
+        fixture.store.put("servers/a3", fixture.searchers["a3"]->entry("a", "z2")); // starts the batch delay
+        fixture.runFor(milliseconds(100));
+        fixture.store.remove("servers/a1");
+        return monotonic_clock::now();
+    };
+    monotonic_time removedAt;
+
+    SECTION("when its entry is removed after the store has answered again")
+    {
+        const auto behaviour = GENERATE(store_behaviour::rejecting, store_behaviour::unresponsive);
+        fixture.store.setBehaviour(behaviour);
+        fixture.runFor(milliseconds(1500));
+        fixture.store.setBehaviour(store_behaviour::normal);
+        fixture.runFor(milliseconds(1000));
+        removedAt = registerAndRemove();
+    }
+    SECTION("when the watch for the removal fails once, without an outage")
+    {
+        removedAt = registerAndRemove();
+        fixture.runFor(drainBatchDelay - milliseconds(200)); // until 100 ms before the watch
+        fixture.store.setBehaviour(store_behaviour::rejecting);
+        fixture.runFor(milliseconds(200));
+        fixture.store.setBehaviour(store_behaviour::normal);
+    }
+    fixture.runFor(std::chrono::duration_cast<milliseconds>(removedAt + drainBound - monotonic_clock::now()));
+    CHECK(fixture.countArrivals("a1", 20) == 0);
+}
+
+TEST_CASE("Searchers whose entries are restored at the end of the time for that get requests all the while")
+{
+    view_fixture fixture("", milliseconds(200), drainBatchDelay);
+    fixture.runFor(2 * drainBatchDelay); // until the watch is pending
+    fixture.store.setBehaviour(store_behaviour::rejecting);
+    fixture.runFor(milliseconds(1500));
+    fixture.store.remove("servers/a1");
+    fixture.store.remove("servers/a2");
+    fixture.store.setBehaviour(store_behaviour::normal);
+    const auto calls = fixture.store.calls();
+    REQUIRE(fixture.runUntil([&] { return fixture.store.calls() > calls + 1; })); // a renewal, and the watch after it
+    const auto end = monotonic_clock::now() + milliseconds(3000);
+    fixture.runFor(milliseconds(1800));
+    fixture.store.put("servers/a1", fixture.searchers["a1"]->entry("a", "z1"));
+    fixture.store.put("servers/a2", fixture.searchers["a2"]->entry("a", "z1"));
+    for (int request = 0; monotonic_clock::now() < end; ++request)
+        CHECK(fixture.sendRequest("/safe/x", "r" + std::to_string(request)).reply.status == 200);
+}
+
+namespace {
+
 // Adds a second gateway whose store rejects every call and whose only seed is the first gateway.
 class isolated_fixture : public view_fixture {
 public:
--- a/test/searcher_directory_test.cc
+++ b/test/searcher_directory_test.cc
@@ -23,28 +23,35 @@
 {
     searcher_directory directory;
     directory.put(makeEntry("a"), start);
-    directory.remove(searcher_id("a"), start, false);
+    CHECK_FALSE(directory.remove(searcher_id("a"), start, start));
     CHECK(directory.records().empty());
 }
 
-TEST_CASE("An entry that expired during an outage is kept for the grace period")
+TEST_CASE("An entry that may have expired during an outage is kept until the given time")
 {
+    const auto keepUntil = start + milliseconds(2200);
     searcher_directory directory;
     directory.put(makeEntry("a"), start);
-    directory.replaceAll({}, start, true);
+    directory.replaceAll({}, start, keepUntil);
     REQUIRE(directory.records().size() == 1);
 
-    SECTION("and removed at its end")
+    SECTION("and removed then")
     {
-        CHECK(directory.expire(start + searcher_directory::expiryGracePeriod - milliseconds(1)).empty());
-        CHECK(directory.expire(start + searcher_directory::expiryGracePeriod).size() == 1);
+        CHECK(directory.expire(keepUntil - milliseconds(1)).empty());
+        CHECK(directory.expire(keepUntil).size() == 1);
         CHECK(directory.records().empty());
     }
 
-    SECTION("and is not removed if it reappears before its end")
+    SECTION("also if its removal is read again with a later time")
+    {
+        CHECK(directory.remove(searcher_id("a"), start + milliseconds(100), keepUntil + milliseconds(1000)));
+        CHECK(directory.expire(keepUntil).size() == 1);
+    }
+
+    SECTION("and is not removed if it is restored before")
     {
         CHECK(directory.put(makeEntry("a"), start + milliseconds(1000)));
-        CHECK(directory.expire(start + searcher_directory::expiryGracePeriod).empty());
+        CHECK(directory.expire(keepUntil).empty());
         CHECK(directory.records().size() == 1);
     }
 }
