Take an ended lease as an answer of the store

After an outage longer than its lease, a gateway's renewal is answered with 404. That answer did not count as the store's return, so a watch that had been lost in the outage was waited for until the renewal after the next one, 2 s later: removals and configurations were read that much later, beyond the bounds for machines in touch.

The new gateway_view_test case (bound 1.5 s after the return) fails before the change and passes after it.

--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -81,16 +81,16 @@
         m_renewing = false;
         if (m_leaving)
             return;
-        if (result == store_result::no_lease) {
-            acquire();
-            return;
-        }
-        if (result != store_result::ok) {
+        if (result != store_result::ok && result != store_result::no_lease) {
             m_follower.reportCallFailed(sentAt);
             scheduleStep(retryDelay, &membership::renew);
             return;
         }
         m_follower.reportCallAnswered();
+        if (result == store_result::no_lease) {
+            acquire();
+            return;
+        }
         const auto now = monotonic_clock::now();
         const bool isSilent = now - lastStoreAnswer() >= m_timing.silenceTimeout;
         m_renewedAt = now;
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -242,6 +242,22 @@
     CHECK(fixture.countArrivals("a1", 20) == 0);
 }
 
+// Guards against changes that are read too late after a long outage: an answer that the lease had ended did not count as
+// the store's return, so a watch that had been lost in the outage was waited for.
+TEST_CASE("A configuration written during an outage that outlasted the lease takes effect once the store answers again")
+{
+    view_fixture fixture("", milliseconds(2000));
+    fixture.runFor(propagationTime);
+    fixture.writeConfiguration(6); // completes the watch; the next one is sent after the delay, and lost
+    fixture.runFor(milliseconds(200));
+    fixture.store.setBehaviour(store_behaviour::unresponsive);
+    fixture.runFor(milliseconds(4000));
+    fixture.writeConfiguration(7, newRoute);
+    fixture.store.endLeases();
+    fixture.store.setBehaviour(store_behaviour::normal);
+    CHECK(fixture.runUntil([&] { return fixture.sendRequest("/new/x", "id1").reply.status == 200; }, propagationTime));
+}
+
 TEST_CASE("Searchers whose entries are restored at the end of the time for that get requests all the while")
 {
     view_fixture fixture("", milliseconds(200), drainBatchDelay);
--- a/test/standins/platform_store.cc
+++ b/test/standins/platform_store.cc
@@ -76,7 +76,7 @@
     else if (target == "/kv-lease")
         answer(exchange, 200, "{\"lease\":" + std::to_string(++m_leases) + ",\"ttlMs\":6000}");
     else if (target.starts_with("/kv-keep/"))
-        answer(exchange, 200, "{\"ttlMs\":6000}");
+        answer(exchange, std::stoull(target.substr(std::string_view("/kv-keep/").size())) > m_lastEndedLease ? 200 : 404, "{\"ttlMs\":6000}");
     else if (target == "/kv-txn")
         transact(request.body, exchange);
     else
--- a/test/standins/platform_store.h
+++ b/test/standins/platform_store.h
@@ -36,6 +36,9 @@
     // Stops delivering events when keys change, also to open watches; their connections stay open.
     void ignoreWatches() { m_ignoresWatches = true; }
 
+    // Ends all leases that were granted so far, as if they had expired. Their keys stay.
+    void endLeases() { m_lastEndedLease = m_leases; }
+
     [[nodiscard]] std::string address() const { return m_server.address(); }
     [[nodiscard]] std::size_t calls() const { return m_calls; }
     [[nodiscard]] bool holds(const std::string& key) const { return m_items.contains(key); }
@@ -76,6 +79,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_compactedRevision = 0; // changes up to this revision have been deleted
     std::uint64_t m_leases = 0;
+    std::uint64_t m_lastEndedLease = 0;
     std::size_t m_calls = 0;
     std::vector<waiting_watch> m_watches;
     bool m_ignoresWatches = false;
