Don't take a missing member entry for an outage of the store

The revision is read from the key of this process's member entry, from a replica that may be seconds old. A 404 counted as a failed call: the store was reported down, and its next answer as the end of an outage.

The new gateway_metrics_test case fails before the change and passes after it.

--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -109,12 +109,14 @@
     m_store.readRevision(memberKeyPrefix + m_ownId.value(), [this, sentAt = m_watchCheckedAt](store_result result, store_revision revision) {
         if (m_leaving)
             return;
-        if (result != store_result::ok) {
+        const bool isMissing = result == store_result::no_lease; // the replica may not have this process's entry yet
+        if (result != store_result::ok && !isMissing) {
             m_follower.reportCallFailed(sentAt);
             scheduleStep(retryDelay, &membership::renew);
             return;
         }
-        m_follower.reportRevision(revision);
+        if (!isMissing)
+            m_follower.reportRevision(revision);
         scheduleRenewal();
     });
 }
--- a/test/gateway_metrics_test.cc
+++ b/test/gateway_metrics_test.cc
@@ -54,6 +54,17 @@
     CHECK(fixture.runUntil([&] { return fixture.scrape().find("result=\"rejected\"") != std::string::npos; }));
 }
 
+// Guards against a false outage: a replica's answer that the member entry is missing was taken for a failed call.
+TEST_CASE("A missing member entry is not counted as an outage of the store")
+{
+    metrics_fixture fixture;
+    fixture.runFor(milliseconds(1000)); // until the watch is pending
+    fixture.store.remove("limpetpier/members/node-1");
+    fixture.runFor(fixture.settings.membershipTiming.watchCheckInterval + milliseconds(500)); // until the revision was read
+    REQUIRE(fixture.hasSeries(R"(limpet_store_call_seconds_count{call="revision",result="no_lease"})"));
+    CHECK_FALSE(fixture.hasSeries(R"(limpet_store_changes_total{to="unreachable"})"));
+}
+
 TEST_CASE("The process's share of each limit is reported per service")
 {
     metrics_fixture fixture;
