Retry unanswered calls to the store from when they were sent

The delay before a retry was added to the timeout of the call before: 1.7 s between two renewals while the store does not answer. The return of the store was noticed up to 1.8 s late, and delayed removals, which are timed from it, ended up to 4.1 s after the true end of an outage; a machine counts as in touch after 4 s. Now it is noticed within the call's timeout of 1 s, so they end 3.3 s after it.

The new gateway_view_test case (4 of 5 expected calls in 4 s) fails before the change and passes after it.

--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -63,7 +63,7 @@
     // Returns the revision that the delivered keys reflect, or the zero revision while all keys are being read.
     [[nodiscard]] store_revision revision() const { return m_isLoaded ? m_revision : store_revision {}; }
 
-    // Delay after a failed call. It doubles with each failure up to the maximum.
+    // Between the start of a failed call and its retry. It doubles with each failure up to the maximum.
     static constexpr milliseconds initialRetryDelay { 100 };
     static constexpr milliseconds maxRetryDelay { 800 };
 
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -6,8 +6,8 @@
 
 constexpr const char* memberKeyPrefix = "limpetpier/members/";
 
-// Delay before a failed call to the store is retried.
-constexpr milliseconds retryDelay { 700 };
+// Between the start of a failed call to the store and its retry.
+constexpr milliseconds retryInterval { 700 };
 
 // The store is not probed within this time after its last answer.
 constexpr milliseconds minSilenceBeforeProbe { 400 };
@@ -49,23 +49,23 @@
 void membership::acquire()
 {
     m_lease = {};
-    m_store.grantLease(m_timing.leaseTtl, [this](store_result result, lease_id lease) {
+    m_store.grantLease(m_timing.leaseTtl, [this, sentAt = monotonic_clock::now()](store_result result, lease_id lease) {
         if (m_leaving)
             return;
         if (result == store_result::ok)
             writeOwnEntry(lease);
         else
-            scheduleStep(retryDelay, &membership::acquire);
+            scheduleRetry(sentAt, &membership::acquire);
     });
 }
 
 void membership::writeOwnEntry(lease_id lease)
 {
-    m_store.write(memberKeyPrefix + m_ownId.value(), encode(m_ownEntry), lease, [this, lease](store_result result) {
+    m_store.write(memberKeyPrefix + m_ownId.value(), encode(m_ownEntry), lease, [this, lease, sentAt = monotonic_clock::now()](store_result result) {
         if (m_leaving)
             return;
         if (result != store_result::ok) {
-            scheduleStep(retryDelay, &membership::acquire);
+            scheduleRetry(sentAt, &membership::acquire);
             return;
         }
         m_lease = lease;
@@ -83,7 +83,7 @@
             return;
         if (result != store_result::ok && result != store_result::no_lease) {
             m_follower.reportCallFailed(sentAt);
-            scheduleStep(retryDelay, &membership::renew);
+            scheduleRetry(sentAt, &membership::renew);
             return;
         }
         m_follower.reportCallAnswered();
@@ -112,7 +112,7 @@
         const bool isMissing = result == store_result::no_lease; // the replica may not have this process's entry yet
         if (result != store_result::ok && !isMissing) {
             m_follower.reportCallFailed(sentAt);
-            scheduleStep(retryDelay, &membership::renew);
+            scheduleRetry(sentAt, &membership::renew);
             return;
         }
         if (!isMissing)
@@ -135,6 +135,12 @@
         scheduleStep(std::chrono::ceil<milliseconds>(due - now), &membership::scheduleRenewal);
 }
 
+void membership::scheduleRetry(monotonic_time failedCallSentAt, void (membership::*step)())
+{
+    const auto delay = failedCallSentAt + retryInterval - monotonic_clock::now();
+    scheduleStep(std::max(std::chrono::ceil<milliseconds>(delay), milliseconds(0)), step);
+}
+
 void membership::scheduleStep(milliseconds delay, void (membership::*step)())
 {
     m_timer.expires_after(delay);
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -71,6 +71,7 @@
     void renew();
     void checkWatch();
     void scheduleRenewal();
+    void scheduleRetry(monotonic_time failedCallSentAt, void (membership::*step)());
     void scheduleStep(milliseconds delay, void (membership::*step)());
 
     metadata_store& m_store;
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -137,9 +137,10 @@
 void store_follower::handleFailure(monotonic_time unavailableSince)
 {
     markUnreachable(unavailableSince);
-    const auto delay = m_retryDelay;
+    // Counted from when the store became unavailable to the call: a call that timed out is retried sooner.
+    const auto delay = std::chrono::ceil<milliseconds>(unavailableSince + m_retryDelay - monotonic_clock::now());
     m_retryDelay = std::min(maxRetryDelay, m_retryDelay * 2);
-    scheduleStep(delay, m_isLoaded ? &store_follower::watch : &store_follower::reload);
+    scheduleStep(std::max(delay, milliseconds(0)), m_isLoaded ? &store_follower::watch : &store_follower::reload);
 }
 
 void store_follower::handleSuccess()
--- a/test/gateway_view_test.cc
+++ b/test/gateway_view_test.cc
@@ -410,6 +410,19 @@
     CHECK(fixture.runUntil([&] { return fixture.store.calls() > calls; }, fixture.settings.membershipTiming.silenceTimeout + milliseconds(200)));
 }
 
+// Guards against a late notice of the store's return, which delays everything that is timed from it: the delay of a retry
+// was added to the timeout of the call before.
+TEST_CASE("An unanswered call to the store is retried without a further delay if its timeout exceeds the delay")
+{
+    view_fixture fixture;
+    fixture.runFor(propagationTime); // until the watch is pending
+    fixture.store.setBehaviour(store_behaviour::unresponsive);
+    const auto calls = fixture.store.calls();
+    fixture.runFor(milliseconds(4000));
+    constexpr std::size_t renewalsEvery700Ms = 5; // the first within 200 ms; the timeout of the fixture's calls is 300 ms
+    CHECK(fixture.store.calls() - calls >= renewalsEvery700Ms);
+}
+
 TEST_CASE("An invalid entry of another writer affects no other entry")
 {
     view_fixture fixture;
