Answer every request before a planned stop ends

What callers saw: in a planned stop whose removal by the balancer came late, requests were passed on and then cut without an answer at the end of the grace period, among them requests that may not be repeated. An answer that a client read slowly was cut as well.

Cause: no request was compared with the time that was left; the event loop ended with requests running; and it ended once none was running, although answers were still being written.

Fix: stop_schedule decides. An unsafe request whose deadline is after the time at which answers are due is refused with 503 before it is passed on. What runs at that time gets an answer that says what is known. The process ends when all answers are written.

gateway_stop_test fails before the change: a running request has no result when the event loop ends, the late unsafe request is passed on, and the event loop ends before 4 MiB are written. It passes after it.

--- a/include/limpetpier/transport/client_listener.h
+++ b/include/limpetpier/transport/client_listener.h
@@ -65,6 +65,9 @@
     // Number of open connections.
     [[nodiscard]] std::size_t connections() const;
 
+    // Number of connections whose latest request awaits its reply or the rest of it.
+    [[nodiscard]] std::size_t unfinishedReplies() const;
+
 private:
     class implementation;
     friend class client_connection;
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <csignal>
 
+#include "gateway_request_handler.h"
+#include "limpetpier/coordination/return_delay.h"
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/endpoints.h"
 #include "limpetpier/transport/events.h"
@@ -24,9 +26,6 @@
 // Readiness checks answered with 503 after which the load balancer has removed this process.
 constexpr std::uint32_t unreadyChecksUntilRemoval = 2;
 
-// Time reserved before the end of the grace period for an orderly shutdown.
-constexpr milliseconds shutdownReserve { 1000 };
-
 // Time after the load balancer's last readiness check in which requests still arrive on new connections.
 constexpr milliseconds lateArrivalPeriod { 400 };
 
@@ -43,7 +42,7 @@
     , m_protocol(protocol)
     , m_settings(std::move(settings))
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
-    , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); }, 0 }
+    , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
     , m_clientListener(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readinessListener(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
@@ -107,6 +106,10 @@
     if (isLogged(event::request_begun))
         logEvent(event::request_begun, event_fields().add("request", request->id).add("route", rule->name).add("table", m_view.table()->version().value()).add("time_left_ms", request->timeLeft.value_or(rule->timeout)).add("view_age_ms", m_view.age()));
     const auto timeLeft = std::min(rule->timeout, request->timeLeft.value_or(rule->timeout));
+    if (m_stop && !m_stop->admits(*rule, now + timeLeft, now)) {
+        call.answer(m_protocol.encodeFailure(statusUnavailable, "this process is stopping and did not execute the request; retry it on a new connection", minReturnDelay));
+        return;
+    }
     auto& statistics = m_routeRecords[rule->name];
     const auto waited = request->timeLeft ? statistics.clientWait.record(*request->timeLeft, rule->latencyObjective / gather_policy::maxWaitDivisor) : milliseconds(0);
     accepted_request run { std::move(request), m_view.table(), rule, &statistics, now, waited, now + timeLeft, std::move(call) };
@@ -118,16 +121,16 @@
 
 bool gateway::isReady() const
 {
-    return !m_stopping && m_view.table() && m_view.isSettled() && !isIsolated();
+    return !m_stop && m_view.table() && m_view.isSettled() && !isIsolated();
 }
 
 void gateway::handleReady(client_call call)
 {
     const bool ready = isReady();
-    if (m_stopping)
+    if (m_stop)
         ++m_unreadyReplies;
     if (ready != m_lastReportedReady)
-        logEvent(event::readiness_changed, event_fields().add("ready", ready ? "yes" : "no").add("stopping", m_stopping ? "yes" : "no").add("view_age_ms", m_view.age()));
+        logEvent(event::readiness_changed, event_fields().add("ready", ready ? "yes" : "no").add("stopping", m_stop ? "yes" : "no").add("view_age_ms", m_view.age()));
     m_lastReportedReady = ready;
     http_reply reply;
     reply.status = ready ? 200 : statusUnavailable;
@@ -146,7 +149,7 @@
     }
     const auto fleetTotals = m_fleet.countTotals(monotonic_clock::now());
     gateway_metrics::gauges values;
-    values.runningRequests = m_context.activeRequests;
+    values.runningRequests = m_context.handlers.size();
     values.clientConnections = m_clientListener.connections();
     values.searchers = fleetTotals.searchers;
     values.usableSearchers = fleetTotals.usable;
@@ -218,23 +221,24 @@
 
 void gateway::beginStop()
 {
-    logEvent(event::stopping, event_fields().add("running", m_context.activeRequests));
-    m_stopping = true;
-    m_stopStartedAt = monotonic_clock::now();
+    logEvent(event::stopping, event_fields().add("running", m_context.handlers.size()));
+    m_stop.emplace(monotonic_clock::now(), m_settings.stopGrace);
     m_clientListener.disableKeepAlive();
     m_view.leave();
     continueStop();
 }
 
 // Serves requests until the load balancer has removed this process, then closes idle connections, finishes running
-// requests and ends the event loop.
+// requests and ends the event loop once their answers are written.
 void gateway::continueStop()
 {
     const auto now = monotonic_clock::now();
-    const auto deadline = m_stopStartedAt + m_settings.stopGrace - shutdownReserve;
-    const bool isRemoved = m_unreadyReplies >= unreadyChecksUntilRemoval || now >= deadline - 2 * lateArrivalPeriod;
-    if (m_draining && now >= m_arrivalsEndAt && (m_context.activeRequests == 0 || now >= deadline)) {
-        logEvent(event::stopped, event_fields().add("running", m_context.activeRequests).add("ms", std::chrono::duration_cast<milliseconds>(now - m_stopStartedAt)));
+    const bool isRemoved = m_unreadyReplies >= unreadyChecksUntilRemoval || now >= m_stop->answersDue() - 2 * lateArrivalPeriod;
+    if (now >= m_stop->answersDue())
+        answerRunningRequests();
+    const bool isDone = m_context.handlers.empty() && m_clientListener.unfinishedReplies() == 0;
+    if (m_draining && now >= m_arrivalsEndAt && (isDone || now >= m_stop->exitDue())) {
+        logEvent(event::stopped, event_fields().add("running", m_context.handlers.size()).add("unfinished_replies", m_clientListener.unfinishedReplies()).add("ms", std::chrono::duration_cast<milliseconds>(now - m_stop->startedAt())));
         flushLog();
         m_io.stop();
         return;
@@ -252,4 +256,13 @@
     });
 }
 
+void gateway::answerRunningRequests()
+{
+    const auto handlers = m_context.handlers; // each removes itself, some only later
+    for (auto* handler : handlers) {
+        if (m_context.handlers.contains(handler))
+            handler->endForExit();
+    }
+}
+
 } // namespace limpetpier
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include "deployment_view.h"
 #include "gateway_metrics.h"
+#include "limpetpier/coordination/stop_schedule.h"
 #include "limpetpier/coordination/traffic_split.h"
 #include "request_handling.h"
 
@@ -39,6 +40,7 @@
     void maintain();
     void beginStop();
     void continueStop();
+    void answerRunningRequests();
 
     asio::io_context& m_io;
     const gateway_protocol& m_protocol;
@@ -56,11 +58,10 @@
     asio::steady_timer m_maintenanceTimer;
     asio::steady_timer m_stopTimer;
     asio::signal_set m_signals;
-    bool m_stopping = false;
+    std::optional<stop_schedule> m_stop; // set once the process is stopping
     bool m_draining = false; // the load balancer has removed this process
     monotonic_time m_arrivalsEndAt {}; // no new request is expected after this time
     std::uint32_t m_unreadyReplies = 0; // readiness checks answered since the stop began, all with 503
-    monotonic_time m_stopStartedAt {};
 };
 
 } // namespace limpetpier
--- a/programs/gateway/gateway_request_handler.cc
+++ b/programs/gateway/gateway_request_handler.cc
@@ -59,13 +59,13 @@
     , m_request(std::move(request))
     , m_timer(context.executor)
 {
-    ++m_context.activeRequests;
+    m_context.handlers.insert(this);
     m_report.requestId = m_request.clientRequest->id;
     m_report.route = m_request.matchedRoute->name;
     m_report.tableVersion = m_request.routingTable->version();
 }
 
-gateway_request_handler::~gateway_request_handler() { --m_context.activeRequests; }
+gateway_request_handler::~gateway_request_handler() { m_context.handlers.erase(this); }
 
 bool gateway_request_handler::finish(http_reply reply, const char* outcome)
 {
--- a/programs/gateway/gateway_request_handler.h
+++ b/programs/gateway/gateway_request_handler.h
@@ -13,6 +13,10 @@
     gateway_request_handler(const gateway_request_handler&) = delete;
     gateway_request_handler& operator=(const gateway_request_handler&) = delete;
 
+    // Ends the request with what is known of its outcome because the process is about to exit. No effect if the request
+    // has ended already. May destroy this object.
+    virtual void endForExit() = 0;
+
 protected:
     // Ends the request with an answer and reports it. Returns false, without effect, if the request has ended already.
     bool finish(http_reply reply, const char* outcome);
--- a/programs/gateway/query_handler.cc
+++ b/programs/gateway/query_handler.cc
@@ -46,6 +46,17 @@
         answerOrWait();
     }
 
+    void endForExit() override
+    {
+        if (isFinished())
+            return;
+        const auto now = monotonic_clock::now();
+        if (m_progress.done >= m_policy.minimumParts())
+            answer(now);
+        else
+            fail(now);
+    }
+
 private:
     enum class part_state : std::uint8_t {
         waiting, // no call is running; a searcher may become usable
--- a/programs/gateway/request_handling.h
+++ b/programs/gateway/request_handling.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -45,13 +46,15 @@
     bool lackedSearchers = false; // failed because too few searchers could be sent to or replied
 };
 
+class gateway_request_handler;
+
 // State that all request handlers of one process share.
 struct request_handler_context {
     asio::any_io_executor executor;
     const gateway_protocol& protocol;
     searcher_fleet& fleet;
     std::function<void(const request_report&)> report; // called once for each request, when it ends
-    std::size_t activeRequests = 0;
+    std::set<gateway_request_handler*> handlers {}; // those that exist; each adds and removes itself
 };
 
 // A client request with its matched route, as passed to a handler.
--- a/programs/gateway/single_searcher_handler.cc
+++ b/programs/gateway/single_searcher_handler.cc
@@ -29,6 +29,12 @@
         sendOrWait();
     }
 
+    void endForExit() override
+    {
+        if (!isFinished())
+            endUnanswered("stopped", "before this process had to stop");
+    }
+
 private:
     [[nodiscard]] bool isSafeToRepeat() const { return m_request.matchedRoute->retryPolicy == retry_policy::safe; }
 
@@ -39,7 +45,7 @@
     {
         const auto now = monotonic_clock::now();
         if (now >= m_request.deadline) {
-            handleTimeout();
+            endUnanswered("timeout", "before the deadline");
             return;
         }
         const bool sent = trySend(now, "refused_or_broken");
@@ -103,7 +109,7 @@
     {
         const auto now = monotonic_clock::now();
         if (now >= m_request.deadline) {
-            handleTimeout();
+            endUnanswered("timeout", "before the deadline");
         } else if (m_runningCalls.empty()) {
             sendOrWait();
         } else {
@@ -175,14 +181,15 @@
         cancelRunningCalls(supersededCallGrace);
     }
 
-    void handleTimeout()
+    // Ends the request while no result is there; limit: the time limit that was reached, for the client.
+    void endUnanswered(const std::string& outcome, const std::string& limit)
     {
         // A call that is still queued for a connection will not be sent any more.
         const bool written = std::any_of(m_runningCalls.begin(), m_runningCalls.end(), [](const auto& item) { return item.second->written; });
         if (m_failureReply || (mayHaveBeenExecuted() && (written || m_runningCalls.empty())))
-            m_failureReply ? finishWithoutResult() : static_cast<void>(finishPossiblyExecuted(statusGatewayTimeout, "timeout", "no searcher replied before the deadline; the request may have been executed"));
+            m_failureReply ? finishWithoutResult() : static_cast<void>(finishPossiblyExecuted(statusGatewayTimeout, outcome.c_str(), "no searcher replied " + limit + "; the request may have been executed"));
         else
-            finishNotExecuted("timeout_unsent", "no searcher accepted the request before the deadline, so it was not executed", expectedReturn());
+            finishNotExecuted((outcome + "_unsent").c_str(), "no searcher accepted the request " + limit + ", so it was not executed", expectedReturn());
         cancelRunningCalls(supersededCallGrace);
     }
 
--- a/src/transport/client_listener.cc
+++ b/src/transport/client_listener.cc
@@ -1,5 +1,6 @@
 #include "limpetpier/transport/client_listener.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -117,6 +118,7 @@
     void onDisconnect(std::function<void()> handler) { m_onDisconnect = std::move(handler); }
 
     [[nodiscard]] bool isIdle() const { return m_state == state::reading && !m_requestStarted; }
+    [[nodiscard]] bool hasUnfinishedReply() const { return m_state == state::waiting || m_state == state::writing; }
 
     void sweep(monotonic_time now)
     {
@@ -347,4 +349,10 @@
 void client_listener::drain() { m_implementation->drain(); }
 std::size_t client_listener::connections() const { return m_implementation->connections.size(); }
 
+std::size_t client_listener::unfinishedReplies() const
+{
+    const auto& connections = m_implementation->connections;
+    return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(), [](const auto& connection) { return connection->hasUnfinishedReply(); }));
+}
+
 } // namespace limpetpier
