Bound incomplete replies of all searchers together

What callers saw: a faulty searcher that sends bytes without end could fill the memory of the gateway that called it, and the requests of its other clients ended with the process.

Cause: each connection held at most 8 MiB of a reply, but nothing bounded the sum over connections.

Fix: receive_budget counts the bytes of incomplete replies over all connections to searchers, 16 MiB at most. Beyond that the connection that holds most is closed (event reply_given_up), so a peer that sends without end loses its own replies.

--- a/include/limpetpier/transport/http_channel.h
+++ b/include/limpetpier/transport/http_channel.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "limpetpier/coordination/receive_budget.h"
 #include "limpetpier/protocol/http_message.h"
 #include "limpetpier/state/clock.h"
 #include "limpetpier/transport/http.h"
@@ -50,6 +51,10 @@
     // Connects to the endpoint. The handler receives false on failure or timeout. Must be called once.
     void open(milliseconds timeout, open_handler handler);
 
+    // Counts the bytes of incomplete replies against a budget that channels share. An exchange whose reply must be given up
+    // fails, and its connection is closed. Must be called before open().
+    void useBudget(std::shared_ptr<receive_budget> budget);
+
     // Sends one serialized request and passes the complete reply to the handler. A reply is complete when the body has
     // the declared length or, without a declared length, when the peer shuts the connection down. isHead tells that the
     // method is HEAD, so that the reply has no body. An empty matcher accepts every reply. A reply that exceeds a limit
@@ -108,6 +113,7 @@
     void startParser();
     void skipReply();
     void handleReply();
+    void releaseBudget();
     void finish(exchange_result result);
     void failConnection();
 
@@ -117,6 +123,7 @@
     state m_state = state::created;
     bool m_tcpKeepAlive = false;
     bool m_exchangePending = false;
+    std::uint64_t m_exchangeCount = 0;
     bool m_isHead = false;
     bool m_writePending = false; // the request is not written completely
     bool m_failAfterWrite = false; // the exchange failed, and the pending write will tell how much was written
@@ -125,6 +132,7 @@
     std::string m_request;
     std::string m_unparsed; // received, not yet consumed by the parser
     std::uint64_t m_receivedBytes = 0; // in this exchange
+    std::unique_ptr<receive_budget::account> m_budgetAccount; // null if the channel has no budget
     unsigned m_skippedReplies = 0; // in this exchange
     std::optional<response_parser> m_parser;
     reply_matcher m_matches;
--- a/programs/gateway/searcher_connection_pool.cc
+++ b/programs/gateway/searcher_connection_pool.cc
@@ -59,10 +59,11 @@
 
 } // namespace
 
-searcher_connection_pool::searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry)
+searcher_connection_pool::searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry, std::shared_ptr<receive_budget> budget)
     : m_executor(std::move(executor))
     , m_protocol(protocol)
     , m_entry(std::move(entry))
+    , m_receiveBudget(std::move(budget))
     , m_reconnectDelay(initialReconnectDelay)
     , m_lastSentAt(monotonic_clock::now())
 {
@@ -303,6 +304,7 @@
 {
     auto opened = std::make_shared<pooled_connection>();
     opened->channel = http_channel::create(m_executor, parseTcpEndpoint(m_entry.address));
+    opened->channel->useBudget(m_receiveBudget);
     opened->verifying = !m_verified;
     opened->incarnation = m_incarnation;
     m_connections.insert(m_connections.begin(), opened);
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -19,6 +19,10 @@
 // Time for which a restricted searcher without an entry is kept.
 constexpr milliseconds restrictedPoolRetention = send_restriction::maxPushback;
 
+// Limit on the incomplete replies of all searchers together: two of the largest replies. The memory in use can be several
+// times this, as buffers grow by doubling.
+constexpr std::size_t maxIncompleteReplyBytes = 16U << 20;
+
 // Returns whether two entries with the same id describe the same start of the searcher.
 bool isSameStart(const searcher_entry& left, const searcher_entry& right) { return left.startTimeMs == right.startTimeMs && left.address == right.address; }
 
@@ -29,6 +33,7 @@
     , m_protocol(protocol)
     , m_ownZone(std::move(ownZone))
     , m_deploymentLimits(limits)
+    , m_receiveBudget(std::make_shared<receive_budget>(maxIncompleteReplyBytes))
 {
 }
 
@@ -71,7 +76,7 @@
     if (!pool || !(pool->entry() == entry))
         logEvent(event::searcher_listed, event_fields().add("searcher", entry.id.value()).add("service", entry.service.value()).add("address", entry.address).add("zone", entry.zone.value()).add("state", entry.draining ? "draining" : "ready").add("cold_ms", entry.coldTimeLeft).add("born", entry.startTimeMs));
     if (!pool) {
-        pool = std::make_unique<searcher_connection_pool>(m_executor, m_protocol, entry);
+        pool = std::make_unique<searcher_connection_pool>(m_executor, m_protocol, entry, m_receiveBudget);
         restoreRestriction(*pool);
         m_maintenanceOrder.push_back(pool.get());
         auto& pools = m_poolsByService[entry.service];
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <netinet/tcp.h>
 
+#include "limpetpier/transport/events.h"
+
 namespace limpetpier {
 
 namespace beast = boost::beast;
@@ -98,9 +100,30 @@
     });
 }
 
+void http_channel::useBudget(std::shared_ptr<receive_budget> budget)
+{
+    // Posted, as another channel may be in the middle of a read.
+    m_budgetAccount = std::make_unique<receive_budget::account>(std::move(budget), [this] {
+        asio::post(m_socket.get_executor(), [weak = weak_from_this(), exchange = m_exchangeCount] {
+            const auto self = weak.lock();
+            if (!self || self->m_state != state::open || !self->m_exchangePending || self->m_exchangeCount != exchange)
+                return;
+            logEvent(event::reply_given_up, event_fields().add("peer", self->m_endpoint.address().to_string() + ":" + std::to_string(self->m_endpoint.port())).add("bytes", self->m_receivedBytes));
+            self->failConnection();
+        });
+    });
+}
+
+void http_channel::releaseBudget()
+{
+    if (m_budgetAccount)
+        m_budgetAccount->clear();
+}
+
 void http_channel::exchange(std::string request, bool isHead, reply_matcher matches, reply_handler handler)
 {
     m_exchangePending = true;
+    ++m_exchangeCount;
     m_isHead = isHead;
     m_anyWritten = false;
     m_receivedBytes = 0;
@@ -156,6 +179,8 @@
     }
     m_unparsed.append(data, count);
     m_receivedBytes += count;
+    if (m_budgetAccount)
+        m_budgetAccount->add(count);
     while (m_state == state::open && m_exchangePending && !m_unparsed.empty() && parse())
         handleReply();
     if (m_state == state::open && m_exchangePending && (m_unparsed.size() > maxUnparsedBytes || m_receivedBytes > maxReceivedBytes))
@@ -234,6 +259,7 @@
     m_matches = nullptr;
     m_request.clear();
     m_unparsed.clear();
+    releaseBudget();
     auto handler = std::exchange(m_onReply, nullptr);
     const bool closed = m_state == state::closed;
     const auto self = shared_from_this();
@@ -260,6 +286,9 @@
 {
     m_onReply = nullptr;
     m_onClosed = nullptr;
+    m_parser.reset();
+    m_unparsed.clear();
+    releaseBudget();
     if (m_state == state::closed)
         return;
     m_state = state::closed;
