--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -107,6 +107,13 @@
         logEvent(event::request_begun, event_fields().add("request", request->id).add("route", rule->name).add("table", m_view.table()->version().value()).add("time_left_ms", request->timeLeft.value_or(rule->timeout)).add("view_age_ms", m_view.age()));
     const auto timeLeft = std::min(rule->timeout, request->timeLeft.value_or(rule->timeout));
     if (m_stop && !m_stop->admits(*rule, now + timeLeft, now)) {
+        request_report refusal;
+        refusal.requestId = request->id;
+        refusal.route = rule->name;
+        refusal.tableVersion = m_view.table()->version();
+        refusal.outcome = "stopping";
+        refusal.status = statusUnavailable;
+        report(refusal);
         call.answer(m_protocol.encodeFailure(statusUnavailable, "this process is stopping and did not execute the request; retry it on a new connection", minReturnDelay));
         return;
     }
