Add the workspace and priority of a request, and the step that admits it

Cause: keys, quotas and admission each need the caller's identity on its way through a request; agreeing on the types first lets the parts be built side by side. Change: workspace, accepted_request::workspace and ::priority, gateway::admit() between routing and start. No behaviour changes. Measured: nothing yet; the types have no effect.

--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -120,10 +120,22 @@
     auto& statistics = m_routeRecords[rule->name];
     const auto waited = request->timeLeft ? statistics.clientWait.record(*request->timeLeft, rule->latencyObjective / gather_policy::maxWaitDivisor) : milliseconds(0);
     accepted_request run { std::move(request), m_view.table(), rule, &statistics, now, waited, now + timeLeft, std::move(call) };
-    if (rule->isQuery())
+    run.priority = rule->priority;
+    admit(std::move(run));
+}
+
+void gateway::admit(accepted_request run)
+{
+    startRequest(std::move(run));
+}
+
+void gateway::startRequest(accepted_request run)
+{
+    const auto& rule = *run.matchedRoute;
+    if (rule.isQuery())
         startQuery(m_context, std::move(run));
     else
-        startSingleSearcherRequest(m_context, std::move(run), m_trafficSplits[rule->name].nextService(*rule));
+        startSingleSearcherRequest(m_context, std::move(run), m_trafficSplits[rule.name].nextService(rule));
 }
 
 bool gateway::isReady() const
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -28,6 +28,11 @@
 private:
     void handleRequest(http_request message, client_call call);
     void route(std::shared_ptr<client_request> request, client_call call);
+
+    // Decides whether a request with a route may start now. May answer it with a refusal, or start it later.
+    void admit(accepted_request run);
+    void startRequest(accepted_request run);
+
     void handleReady(client_call call);
     void handleMetrics(const http_request& request, client_call call);
     [[nodiscard]] bool isReady() const;
--- a/programs/gateway/request_handling.h
+++ b/programs/gateway/request_handling.h
@@ -9,6 +9,7 @@
 #include "limpetpier/coordination/client_wait_estimate.h"
 #include "limpetpier/coordination/gather_policy.h"
 #include "limpetpier/coordination/latency_histogram.h"
+#include "limpetpier/state/workspace.h"
 #include "limpetpier/transport/client_listener.h"
 #include "searcher_fleet.h"
 
@@ -67,6 +68,8 @@
     milliseconds clientWaited; // before the request arrived, as estimated
     monotonic_time deadline; // the earlier of the client's and the route's deadline
     client_call clientCall;
+    workspace_id workspace {}; // named by the client's key; empty if the configuration has no workspaces or the route needs no key
+    std::uint32_t priority = 0; // of the workspace or, if it has none, of the route; 0 is the highest
 };
 
 // Sends a request to one searcher of the service and forwards its reply. Hedges and retries it on other searchers where
