--- a/include/limpetpier/protocol/gateway_protocol.h
+++ b/include/limpetpier/protocol/gateway_protocol.h
@@ -97,9 +97,18 @@
     [[nodiscard]] virtual std::string searcherPrefix() const = 0;
     [[nodiscard]] virtual std::string evacuationPrefix() const = 0;
 
+    // Prefixes of the operator's orders of roll-outs and of their states; the name of the service follows.
+    [[nodiscard]] virtual std::string rolloutOrderPrefix() const = 0;
+    [[nodiscard]] virtual std::string rolloutStatusPrefix() const = 0;
+
     // Decode values of the store. Throw document_error if a value is invalid.
     [[nodiscard]] virtual routing_table decodeTable(const std::string& text) const = 0;
     [[nodiscard]] virtual searcher_entry decodeSearcher(const std::string& key, const std::string& text) const = 0;
+    [[nodiscard]] virtual rollout_order decodeRolloutOrder(const std::string& key, const std::string& text) const = 0;
+    [[nodiscard]] virtual rollout_status decodeRolloutStatus(const std::string& key, const std::string& text) const = 0;
+
+    // Encodes the state of a roll-out as it is stored.
+    [[nodiscard]] virtual std::string encodeRolloutStatus(const rollout_status& status) const = 0;
 };
 
 } // namespace limpetpier
--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -257,11 +257,25 @@
     bool draining = false;
     std::int64_t coldTimeLeftMs = 0; // counted from the sending of the reply
     std::uint64_t startTimeMs = 0;
+    std::string version;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(id, service, address, zone, slots, draining, coldTimeLeftMs, startTimeMs);
+        archive(id, service, address, zone, slots, draining, coldTimeLeftMs, startTimeMs, version);
+    }
+};
+
+// An entry of a view: a key of the roll-outs, as stored.
+struct viewed_rollout {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(key, value, revision);
     }
 };
 
@@ -275,11 +289,12 @@
     std::vector<viewed_searcher> searchers;
     std::vector<node_id> members;
     std::vector<std::string> memberEntries; // stored values of members, in the same order
+    std::vector<viewed_rollout> rollouts;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(ageMs, revision, unchanged, tableText, evacuatedZones, searchers, members, memberEntries);
+        archive(ageMs, revision, unchanged, tableText, evacuatedZones, searchers, members, memberEntries, rollouts);
     }
 };
 
--- a/include/limpetpier/state/searcher_directory.h
+++ b/include/limpetpier/state/searcher_directory.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "limpetpier/state/rollout.h"
 #include "limpetpier/state/routing_table.h"
 
 namespace limpetpier {
@@ -21,6 +22,7 @@
     bool draining = false;
     milliseconds coldTimeLeft { 0 }; // remaining cold time when the entry was written
     std::uint64_t startTimeMs = 0; // process start, in milliseconds since the Unix epoch; 0 if unknown
+    software_version version {}; // empty if unknown
 
     bool operator==(const searcher_entry&) const = default;
 };
--- a/include/limpetpier/transport/metadata_store.h
+++ b/include/limpetpier/transport/metadata_store.h
@@ -21,6 +21,18 @@
     bool removed = false;
 };
 
+// A condition of a write: the key last changed at this revision. The zero revision means that the key does not exist.
+struct store_condition {
+    std::string key;
+    store_revision revision;
+};
+
+// A key that is written without a lease, or removed if there is no value.
+struct store_change {
+    std::string key;
+    std::optional<std::string> value;
+};
+
 // Result of a call to the store.
 enum class store_result : std::uint8_t {
     ok,
@@ -96,6 +108,9 @@
     // Writes a key under a lease.
     virtual void write(const std::string& key, const std::string& value, lease_id lease, std::function<void(store_result)> done) = 0;
 
+    // Makes all changes if all conditions hold; otherwise none, with store_result::conflict.
+    virtual void writeIf(const std::vector<store_condition>& conditions, const std::vector<store_change>& changes, std::function<void(store_result)> done) = 0;
+
     // Sets the observer of completed calls.
     void observe(call_observer observer) { m_observer = std::move(observer); }
 
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -80,6 +80,8 @@
 void deployment_view::replaceContents(const std::vector<store_item>& items, monotonic_time keepRemovedUntil)
 {
     m_evacuatedZones.clear();
+    m_rolloutItems.clear();
+    m_changes.rollouts = true;
     m_membership.clear();
     std::vector<searcher_entry> entries;
     for (const auto& item : items) {
@@ -97,7 +99,13 @@
 
 void deployment_view::apply(const store_item& item, monotonic_time keepRemovedUntil)
 {
-    if (item.key.starts_with(m_protocol.operatorPrefix()))
+    if (isRolloutKey(item.key)) {
+        if (item.removed)
+            m_rolloutItems.erase(item.key);
+        else
+            m_rolloutItems[item.key] = item;
+        m_changes.rollouts = true;
+    } else if (item.key.starts_with(m_protocol.operatorPrefix()))
         applyOperator(item);
     else if (item.key.starts_with(m_protocol.searcherPrefix()))
         applySearcher(item, keepRemovedUntil);
@@ -107,6 +115,11 @@
     }
 }
 
+bool deployment_view::isRolloutKey(const std::string& key) const
+{
+    return key.starts_with(m_protocol.rolloutOrderPrefix()) || key.starts_with(m_protocol.rolloutStatusPrefix()) || key.starts_with(rolloutReportPrefix);
+}
+
 void deployment_view::applyOperator(const store_item& item)
 {
     const auto evacuation = m_protocol.evacuationPrefix();
@@ -207,8 +220,10 @@
     for (const auto& [id, record] : m_directory.records()) {
         const auto& entry = record.entry;
         const auto coldTimeLeft = std::chrono::duration_cast<milliseconds>(std::max(record.coldUntil, now) - now);
-        view.searchers.push_back({ id, entry.service, entry.address, entry.zone, entry.slots, entry.draining, coldTimeLeft.count(), entry.startTimeMs });
+        view.searchers.push_back({ id, entry.service, entry.address, entry.zone, entry.slots, entry.draining, coldTimeLeft.count(), entry.startTimeMs, entry.version.value() });
     }
+    for (const auto& [key, item] : m_rolloutItems)
+        view.rollouts.push_back({ key, item.value, item.revision.value() });
     for (const auto& [node, member] : m_membership.members()) {
         view.members.push_back(node);
         view.memberEntries.push_back(membership::encode(member));
@@ -242,7 +257,7 @@
     std::vector<searcher_entry> entries;
     for (const auto& searcher : view.searchers) {
         try {
-            searcher_entry entry { searcher.id, searcher.service, searcher.address, searcher.zone, searcher.slots, searcher.draining, milliseconds(searcher.coldTimeLeftMs), searcher.startTimeMs };
+            searcher_entry entry { searcher.id, searcher.service, searcher.address, searcher.zone, searcher.slots, searcher.draining, milliseconds(searcher.coldTimeLeftMs), searcher.startTimeMs, software_version(searcher.version) };
             checkEntry(entry);
             entries.push_back(std::move(entry));
         } catch (const limpet_error& error) {
@@ -250,6 +265,12 @@
         }
     }
     m_changes.searchers.merge(m_directory.replaceAll(entries, now, now));
+    m_rolloutItems.clear();
+    for (const auto& item : view.rollouts) {
+        if (isRolloutKey(item.key))
+            m_rolloutItems[item.key] = { item.key, item.value, store_revision(item.revision), false };
+    }
+    m_changes.rollouts = true;
     m_membership.clear();
     for (std::size_t index = 0; index < view.members.size(); ++index)
         m_membership.put(view.members[index], view.memberEntries[index]);
--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -40,9 +40,17 @@
     // Data centres that the operator evacuates: their searchers get no requests.
     [[nodiscard]] const std::set<data_centre_id>& evacuatedZones() const { return m_evacuatedZones; }
 
+    // Stored orders, states and reports of roll-outs, by key.
+    [[nodiscard]] const std::map<std::string, store_item>& rolloutItems() const { return m_rolloutItems; }
+
+    // Prefix of the keys under which gateways report what they saw in a roll-out.
+    static constexpr const char* rolloutReportPrefix = "limpetpier/rollouts/";
+
     // This process's part of the limits that apply to all members together.
     [[nodiscard]] const member_share& share() const { return m_share; }
 
+    [[nodiscard]] bool isMember(const node_id& node) const { return m_membership.members().contains(node); }
+
     // Returns whether the member list is complete enough to divide the shared limits by it.
     [[nodiscard]] bool isSettled() const { return m_settled; }
 
@@ -59,8 +67,9 @@
     struct changes {
         std::set<searcher_id> searchers;
         bool rules = false; // the table, the members, the evacuated zones or the shared limits
+        bool rollouts = false; // the items of roll-outs
 
-        [[nodiscard]] bool none() const { return searchers.empty() && !rules; }
+        [[nodiscard]] bool none() const { return searchers.empty() && !rules && !rollouts; }
     };
 
     // Returns the changes since the last call and resets them.
@@ -73,6 +82,7 @@
     void replaceContents(const std::vector<store_item>& items, monotonic_time keepRemovedUntil);
     void apply(const store_item& item, monotonic_time keepRemovedUntil);
     void applyOperator(const store_item& item);
+    [[nodiscard]] bool isRolloutKey(const std::string& key) const;
     void adoptTable(const std::string& text);
     void applySearcher(const store_item& item, monotonic_time keepRemovedUntil);
     std::optional<searcher_entry> readSearcher(const store_item& item) const;
@@ -91,6 +101,7 @@
     std::string m_tableText; // of m_table, as stored
     searcher_directory m_directory;
     std::set<data_centre_id> m_evacuatedZones;
+    std::map<std::string, store_item> m_rolloutItems;
     member_share m_share;
     store_follower m_storeFollower;
     membership m_membership;
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -44,6 +44,7 @@
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
     , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
+    , m_rollouts(protocol, store, m_settings, m_fleet)
     , m_clientListener(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readinessListener(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
     , m_maintenanceTimer(io)
@@ -179,6 +180,8 @@
     values.ready = isReady();
     values.shares = m_fleet.limitsByService();
     values.extraSendsLeft = m_fleet.remainingExtraSends(monotonic_clock::now());
+    for (const auto& row : m_rollouts.rows())
+        values.rollouts.push_back({ row.service, row.target, row.phase, row.answers });
     reply.contentType = "text/plain; version=0.0.4";
     reply.body = m_metrics.render(values);
     call.answer(std::move(reply));
@@ -218,6 +221,10 @@
     const auto changes = m_view.takeChanges();
     if (changes.rules)
         m_clientListener.changeLimits(table->limits());
+    if (!changes.none()) {
+        m_rollouts.update(m_view, monotonic_clock::now());
+        m_fleet.applyRollouts();
+    }
     if (!changes.searchers.empty())
         m_fleet.updateEntries(m_view.directory(), changes.searchers, *table, m_view.share());
     if (changes.rules)
@@ -229,6 +236,7 @@
     const auto now = monotonic_clock::now();
     m_view.maintain(now);
     refreshFleet();
+    m_rollouts.maintain(m_view, now);
     m_fleet.maintain(now);
     flushLog();
     m_maintenanceTimer.expires_after(maintenanceInterval);
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "limpetpier/coordination/stop_schedule.h"
 #include "limpetpier/coordination/traffic_split.h"
 #include "request_handling.h"
+#include "rollouts.h"
 
 namespace limpetpier {
 
@@ -55,6 +56,7 @@
     std::map<std::string, route_statistics> m_routeRecords; // by route name
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
     deployment_view m_view;
+    rollouts m_rollouts;
     client_listener m_clientListener;
     client_listener m_readinessListener;
     std::unique_ptr<client_listener> m_metricsListener;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -41,6 +41,24 @@
     m_registry.add("limpet_store_changes_total", { { "to", reachable ? "reachable" : "unreachable" } }, 1);
 }
 
+void gateway_metrics::renderRollouts(const std::vector<rollout_row>& rollouts)
+{
+    std::size_t shown = 0;
+    for (const auto& [service, target, phase, answers] : rollouts) {
+        if (++shown > maxServices)
+            break;
+        for (const auto state : { rollout_phase::running, rollout_phase::switching, rollout_phase::succeeded, rollout_phase::rolled_back })
+            m_registry.set("limpet_rollout_state", { { "service", service.value() }, { "state", toText(state) } }, state == phase ? 1 : 0);
+        const auto set = [&, &name = service.value()](const char* version, const char* kind, std::uint64_t count) {
+            m_registry.set("limpet_rollout_answers", { { "service", name }, { "version", version }, { "kind", kind } }, static_cast<double>(count));
+        };
+        set("target", "all", answers.targetAnswers);
+        set("target", "bad", answers.targetBad);
+        set("other", "all", answers.otherAnswers);
+        set("other", "bad", answers.otherBad);
+    }
+}
+
 std::string gateway_metrics::render(const gauges& values)
 {
     m_registry.set("limpet_requests_running", static_cast<double>(values.runningRequests));
@@ -64,6 +82,7 @@
         m_registry.set("limpet_share", { { "service", service.value() }, { "bound", "connections" } }, share.connections);
         m_registry.set("limpet_share", { { "service", service.value() }, { "bound", "cold_requests" } }, share.coldRequestsPerSecond);
     }
+    renderRollouts(values.rollouts);
     return m_registry.render();
 }
 
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -22,6 +22,14 @@
     // Adds the time of a call to the store to the histogram of its kind and result.
     void recordStoreCall(const char* call, store_result result, microseconds elapsed);
 
+    // A service's latest roll-out.
+    struct rollout_row {
+        service_id service;
+        software_version target;
+        rollout_phase phase = rollout_phase::running;
+        route_evidence answers;
+    };
+
     // Values of the gauges at the time of a scrape.
     struct gauges {
         std::size_t runningRequests = 0;
@@ -33,6 +41,7 @@
         std::uint64_t tableVersion = 0;
         double viewAgeSeconds = 0; // since the store's last answer; negative before the first
         bool ready = false;
+        std::vector<rollout_row> rollouts;
         std::map<service_id, double> extraSendsLeft; // extra sends left in the current window, by service
         std::map<service_id, searcher_limits> shares; // this process's part of the limits of one searcher, by service
     };
@@ -47,6 +56,7 @@
     static constexpr std::size_t maxServices = 32;
 
 private:
+    void renderRollouts(const std::vector<rollout_row>& rollouts);
     std::string routeLabel(const std::string& route);
 
     metrics_registry m_registry;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -65,6 +65,11 @@
         settings.seeds.push_back(host + ":" + std::to_string(node.firstPeerPort));
     settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack };
     settings.changeBatchDelay = std::min(node.drainBound, node.configApplyBound) * changeBatchPercent / 100;
+    if (node.rollbackBound > milliseconds(0))
+        settings.changeBatchDelay = std::min(settings.changeBatchDelay, node.rollbackBound * changeBatchPercent / 100);
+    settings.bounds.rollout.exposedShare = node.exposeShare;
+    settings.bounds.rollout.exposedSlack = node.exposeSlack;
+    settings.bounds.rollout.noticeDelay = settings.changeBatchDelay + storeTimeout;
     settings.membershipTiming.watchCheckInterval = std::min(node.drainBound, node.configApplyBound) * watchCheckPercent / 100;
     settings.minExpiryOutage = node.searcherHeartbeat * (heartbeatsUntilExpiry - heartbeatsMissedAround);
     settings.stopGrace = node.stopGrace;
--- a/programs/gateway/query_handler.cc
+++ b/programs/gateway/query_handler.cc
@@ -152,6 +152,7 @@
         ++part.possibleExecutions;
         ++part.possibleArrivals;
         ++m_report.sends;
+        m_context.fleet.recordSend(*pool);
         pool->send(call);
         return true;
     }
@@ -163,6 +164,7 @@
             --part.possibleArrivals;
             refundExtraSend(part.service, *call);
         }
+        m_context.fleet.recordResult(part.service, searcher, m_request.matchedRoute->name, result);
         std::erase_if(part.runningCalls, [&](const auto& item) { return item.second == call; });
         if (isFinished() || part.state == part_state::done)
             return;
@@ -345,6 +347,7 @@
     void cancelRunningCalls(part& part, milliseconds gracePeriod)
     {
         for (const auto& [searcher, call] : std::exchange(part.runningCalls, {})) {
+            m_context.fleet.recordAbandoned(part.service, searcher, m_request.matchedRoute->name, *call);
             if (auto* pool = m_context.fleet.find(searcher))
                 pool->cancel(call, gracePeriod);
             call->finished = true;
--- a/programs/gateway/searcher_connection_pool.cc
+++ b/programs/gateway/searcher_connection_pool.cc
@@ -103,6 +103,13 @@
     m_evacuated = evacuated;
 }
 
+void searcher_connection_pool::setVersionExcluded(bool excluded)
+{
+    if (excluded && !m_versionExcluded)
+        closeIdleConnections();
+    m_versionExcluded = excluded;
+}
+
 bool searcher_connection_pool::isUsable(monotonic_time now)
 {
     if (!isReachable(now))
--- a/programs/gateway/searcher_connection_pool.h
+++ b/programs/gateway/searcher_connection_pool.h
@@ -40,12 +40,18 @@
     // Sets whether the searcher's zone is being evacuated. After an evacuation the searcher is verified before use.
     void setEvacuated(bool evacuated);
 
+    // Sets whether a roll-out excludes the searcher's version from requests.
+    void setVersionExcluded(bool excluded);
+
+    // Returns true while the searcher is cold, by its entry or its last health check.
+    [[nodiscard]] bool isCold(monotonic_time now) const { return now < std::max(m_coldUntil, m_reportedColdUntil); }
+
     [[nodiscard]] const searcher_entry& entry() const { return m_entry; }
     [[nodiscard]] const searcher_limits& limits() const { return m_limits; }
 
-    // Returns false while the searcher is draining, after it announced that it leaves, and while its zone is being
-    // evacuated.
-    [[nodiscard]] bool acceptsRequests() const { return !m_entry.draining && !m_evacuated && !m_restriction.isLeaving(); }
+    // Returns false while the searcher is draining, after it announced that it leaves, while its zone is being
+    // evacuated, and while its version is excluded.
+    [[nodiscard]] bool acceptsRequests() const { return !m_entry.draining && !m_evacuated && !m_versionExcluded && !m_restriction.isLeaving(); }
 
     // Returns the earliest time at which the searcher may be sent a request, considering its notices and failed
     // connections: now, a later time, or the maximum if it does not accept requests.
@@ -96,7 +102,6 @@
     };
     using pooled_connection_ptr = std::shared_ptr<pooled_connection>;
 
-    [[nodiscard]] bool isCold(monotonic_time now) const { return now < std::max(m_coldUntil, m_reportedColdUntil); }
     [[nodiscard]] bool shouldClose(const pooled_connection& connection, monotonic_time now) const;
     void openConnection();
     void handleOpened(const pooled_connection_ptr& opened, bool success);
@@ -128,6 +133,7 @@
     send_restriction m_restriction;
     std::uint64_t m_incarnation = 0; // incremented when the searcher restarts
     bool m_evacuated = false;
+    bool m_versionExcluded = false;
     bool m_verified = true;
     std::uint32_t m_unhealthyReplies = 0; // in a row
     monotonic_time m_reconnectAt {}; // no connection is opened before
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -85,6 +85,59 @@
     }
     pool->update(entry, record.coldUntil);
     pool->setEvacuated(m_evacuated.contains(entry.zone));
+    if (const auto rollout = m_rollouts.find(entry.service); rollout != m_rollouts.end())
+        pool->setVersionExcluded(rollout->second.use(entry.version) == rollout_control::version_use::none);
+}
+
+void searcher_fleet::applyRollouts()
+{
+    for (const auto& [service, rollout] : m_rollouts) {
+        const auto found = m_poolsByService.find(service);
+        if (found == m_poolsByService.end())
+            continue;
+        for (auto* pool : found->second)
+            pool->setVersionExcluded(rollout.use(pool->entry().version) == rollout_control::version_use::none);
+    }
+}
+
+rollout_control* searcher_fleet::activeRollout(const service_id& service)
+{
+    if (m_rollouts.empty())
+        return nullptr;
+    const auto found = m_rollouts.find(service);
+    return found == m_rollouts.end() || !found->second.isActive() ? nullptr : &found->second;
+}
+
+void searcher_fleet::recordSend(const searcher_connection_pool& pool)
+{
+    if (auto* rollout = activeRollout(pool.entry().service))
+        rollout->recordSend(pool.entry().version);
+}
+
+void searcher_fleet::recordResult(const service_id& service, const searcher_id& searcher, const std::string& route, const call_result& result)
+{
+    auto* rollout = activeRollout(service);
+    const auto* pool = rollout == nullptr ? nullptr : find(searcher);
+    if (pool == nullptr)
+        return;
+    const auto& version = pool->entry().version;
+    if (result.stage == exchange_stage::not_written)
+        rollout->recordUnsent(version);
+    else if (result.stage == exchange_stage::replied && !result.isKnownNotExecuted())
+        rollout->recordAnswer(version, route, result.reply.kind == reply_kind::failure, result.elapsed, pool->isCold(monotonic_clock::now()));
+}
+
+void searcher_fleet::recordAbandoned(const service_id& service, const searcher_id& searcher, const std::string& route, const searcher_call& call)
+{
+    auto* rollout = activeRollout(service);
+    const auto* pool = rollout == nullptr ? nullptr : find(searcher);
+    if (pool == nullptr)
+        return;
+    const auto now = monotonic_clock::now();
+    if (call.written)
+        rollout->recordAbandoned(pool->entry().version, route, std::chrono::duration_cast<microseconds>(now - call.writtenAt), pool->isCold(now));
+    else
+        rollout->recordUnsent(pool->entry().version);
 }
 
 void searcher_fleet::remove(const searcher_id& searcher)
@@ -152,14 +205,24 @@
     const auto found = m_poolsByService.find(service);
     if (found == m_poolsByService.end())
         return nullptr;
+    using version_use = rollout_control::version_use;
+    const auto* rollout = activeRollout(service);
+    // A repeat goes to the proved versions, and what may go to the unproved one does, as its part is small.
+    const bool mayExpose = rollout != nullptr && excluded.empty() && rollout->mayExpose();
     searcher_connection_pool* best = nullptr;
     double bestCost = 0;
+    auto bestUse = version_use::free;
+    const auto preference = [](version_use use) { return use == version_use::limited ? 0 : (use == version_use::free ? 1 : 2); };
     for (auto* pool : found->second) {
         if (std::find(excluded.begin(), excluded.end(), pool->entry().id) != excluded.end() || !pool->isUsable(now))
             continue;
+        const auto use = rollout == nullptr ? version_use::free : rollout->use(pool->entry().version);
+        if (use == version_use::none || (use == version_use::limited && !mayExpose))
+            continue;
         const double cost = pool->expectedCost(now) + (pool->entry().zone == m_ownZone ? 0 : remoteZoneCost);
-        if (best == nullptr || cost < bestCost) {
+        if (best == nullptr || preference(use) < preference(bestUse) || (preference(use) == preference(bestUse) && cost < bestCost)) {
             best = pool;
+            bestUse = use;
             bestCost = cost;
         }
     }
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -7,6 +7,7 @@
 
 #include "limpetpier/coordination/member_share.h"
 #include "limpetpier/coordination/retry_allowance.h"
+#include "limpetpier/coordination/rollout_control.h"
 #include "searcher_connection_pool.h"
 
 namespace limpetpier {
@@ -18,6 +19,7 @@
     milliseconds retryWindow { 10'000 }; // sliding window of the retry budget
     double coldFactor = 1; // multiplies the service's limit for cold searchers
     double coldSlack = 0; // requests per second to a cold searcher in addition to that
+    rollout_limits rollout {};
 };
 
 // Connection pools of all searchers that this process may send to, grouped by service.
@@ -41,6 +43,18 @@
     // excluded are skipped.
     searcher_connection_pool* chooseSearcher(const service_id& service, const std::vector<searcher_id>& excluded, monotonic_time now);
 
+    // Roll-outs by service. chooseSearcher() respects them.
+    [[nodiscard]] std::map<service_id, rollout_control>& rollouts() { return m_rollouts; }
+    [[nodiscard]] const std::map<service_id, rollout_control>& rollouts() const { return m_rollouts; }
+
+    // Excludes the searchers of versions that roll-outs exclude at present.
+    void applyRollouts();
+
+    // Record, for a roll-out, that a request is sent to a searcher, how the send ended, and that it was given up before.
+    void recordSend(const searcher_connection_pool& pool);
+    void recordResult(const service_id& service, const searcher_id& searcher, const std::string& route, const call_result& result);
+    void recordAbandoned(const service_id& service, const searcher_id& searcher, const std::string& route, const searcher_call& call);
+
     // Returns the earliest time at which a searcher of the service that is not excluded may be sent a request, even if
     // its connections are busy now; the maximum if there is none.
     [[nodiscard]] monotonic_time sendableFrom(const service_id& service, const std::vector<searcher_id>& excluded, monotonic_time now) const;
@@ -82,6 +96,7 @@
     [[nodiscard]] totals countTotals(monotonic_time now);
 
 private:
+    rollout_control* activeRollout(const service_id& service);
     void addOrUpdate(const searcher_directory::record& record);
     void remove(const searcher_id& searcher);
     void restoreRestriction(searcher_connection_pool& pool) const;
@@ -107,6 +122,7 @@
     std::size_t m_nextMaintenance = 0; // index in m_maintenanceOrder
     std::map<service_id, std::vector<searcher_connection_pool*>> m_poolsByService; // each ordered by searcher id
     std::map<service_id, retry_allowance> m_retryBudgets;
+    std::map<service_id, rollout_control> m_rollouts;
     std::vector<removed_pool> m_removedPools;
 };
 
--- a/programs/gateway/single_searcher_handler.cc
+++ b/programs/gateway/single_searcher_handler.cc
@@ -83,6 +83,7 @@
         ++m_possibleExecutions;
         ++m_possibleArrivals;
         m_lastSentAt = now;
+        m_context.fleet.recordSend(*pool);
         pool->send(call);
         return true;
     }
@@ -127,6 +128,7 @@
             --m_possibleArrivals;
             refundExtraSend(m_service, *call);
         }
+        m_context.fleet.recordResult(m_service, searcher, m_request.matchedRoute->name, result);
         std::erase_if(m_runningCalls, [&](const auto& item) { return item.second == call; });
         if (isFinished())
             return;
@@ -205,6 +207,7 @@
     void cancelRunningCalls(milliseconds gracePeriod)
     {
         for (const auto& [searcher, call] : std::exchange(m_runningCalls, {})) {
+            m_context.fleet.recordAbandoned(m_service, searcher, m_request.matchedRoute->name, *call);
             if (auto* pool = m_context.fleet.find(searcher))
                 pool->cancel(call, gracePeriod);
             call->finished = true;
--- a/test/standins/platform_store.cc
+++ b/test/standins/platform_store.cc
@@ -148,8 +148,24 @@
 void platform_store::transact(const std::string& body, const raw_exchange_handle& exchange)
 {
     const auto call = json::parse(body);
+    json::array found; // states of the expected keys
+    bool holds = true;
+    for (const auto& row : call.at("expected").as_array()) {
+        const auto key = json::value_to<std::string>(row.at("key"));
+        const auto item = m_items.find(key);
+        const auto revision = item == m_items.end() ? 0 : item->second.revision;
+        holds = holds && revision == row.at("rev").to_number<std::uint64_t>();
+        if (item != m_items.end())
+            found.push_back(json::object { { "key", key }, { "value", item->second.value }, { "rev", revision }, { "created", item->second.created }, { "lease", item->second.lease } });
+    }
+    if (!holds) {
+        answer(exchange, 412, json::serialize(json::object { { "items", found } }), true);
+        return;
+    }
     for (const auto& write : call.at("writes").as_array())
         store(json::value_to<std::string>(write.at("key")), json::value_to<std::string>(write.at("value")), write.at("lease").to_number<std::uint64_t>());
+    for (const auto& key : call.at("remove").as_array())
+        remove(json::value_to<std::string>(key));
     answer(exchange, 200, "{\"rev\":" + std::to_string(m_revision) + "}", true);
 }
 
