--- a/src/coordination/rollout_control.cc
+++ b/src/coordination/rollout_control.cc
@@ -34,9 +34,9 @@
 constexpr double badRateStep = 0.1;
 constexpr double minRate = 0.005;
 constexpr double maxRate = 0.5;
-constexpr double badLimit = 5.3;
+constexpr double badLimit = 8;
 constexpr double goodLimit = -3;
-constexpr std::uint64_t minBadAnswers = 3;
+constexpr std::uint64_t minBadAnswers = 4;
 
 // Answers of the other versions that are enough for their rate in a part of the roll-out.
 constexpr std::uint64_t minOtherAnswers = 20;
