--- a/test/standins/platform_searcher.cc
+++ b/test/standins/platform_searcher.cc
@@ -32,7 +32,7 @@
 
 std::string platform_searcher::entry(const std::string& service, const std::string& zone, const std::string& state, int coldLeftMs) const
 {
-    return boost::json::serialize(boost::json::object { { "service", service }, { "address", m_advertised.empty() ? address() : m_advertised }, { "zone", zone }, { "version", "v1" }, { "slots", 2 }, { "state", state }, { "coldLeftMs", coldLeftMs }, { "seq", 1 }, { "born", m_incarnation } });
+    return boost::json::serialize(boost::json::object { { "service", service }, { "address", m_advertised.empty() ? address() : m_advertised }, { "zone", zone }, { "version", m_version }, { "slots", 2 }, { "state", state }, { "coldLeftMs", coldLeftMs }, { "seq", 1 }, { "born", m_incarnation } });
 }
 
 std::size_t platform_searcher::waitingClients() const
--- a/test/standins/platform_searcher.h
+++ b/test/standins/platform_searcher.h
@@ -42,6 +42,9 @@
     // Makes each record contain the request's id, and delays each response by the time that the callback returns.
     void answerWithRequestId(std::function<milliseconds()> workTime) { m_workTime = std::move(workTime); }
 
+    // Sets the version in the store entry.
+    void setVersion(std::string version) { m_version = std::move(version); }
+
     // Sets the address in the store entry, instead of the searcher's own.
     void advertise(std::string address) { m_advertised = std::move(address); }
 
@@ -94,6 +97,7 @@
     std::string m_id;
     std::size_t m_incarnation; // differs between all searchers of the process, and is part of the stamps
     std::string m_advertised;
+    std::string m_version = "v1";
     arrival_handler m_onArrival;
     std::function<milliseconds()> m_workTime; // null: fixed records, without delay
     std::string m_records;
--- a/test/standins/platform_store.cc
+++ b/test/standins/platform_store.cc
@@ -23,6 +23,15 @@
     return text;
 }
 
+std::string decodeBase64(const std::string& text)
+{
+    std::string bytes(text.size(), '\0');
+    const auto count = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    const auto padding = text.ends_with("==") ? 2 : (text.ends_with("=") ? 1 : 0);
+    bytes.resize(static_cast<std::size_t>(std::max(count - padding, 0)));
+    return bytes;
+}
+
 // Returns the value of a query parameter without decoding it; the gateway sends none that need decoding.
 std::string parameter(const std::string& target, const std::string& name)
 {
@@ -43,6 +52,12 @@
 
 void platform_store::put(const std::string& key, const std::string& value) { store(key, encodeBase64(value), 0); }
 
+std::string platform_store::valueOf(const std::string& key) const
+{
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? std::string() : decodeBase64(found->second.value);
+}
+
 void platform_store::remove(const std::string& key)
 {
     if (m_items.erase(key) == 0)
--- a/test/standins/platform_store.h
+++ b/test/standins/platform_store.h
@@ -41,6 +41,7 @@
 
     [[nodiscard]] std::string address() const { return m_server.address(); }
     [[nodiscard]] std::size_t calls() const { return m_calls; }
+    [[nodiscard]] std::string valueOf(const std::string& key) const; // empty if the key does not exist
     [[nodiscard]] bool holds(const std::string& key) const { return m_items.contains(key); }
 
 private:
