--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -257,7 +257,7 @@
     bool draining = false;
     std::int64_t coldTimeLeftMs = 0; // counted from the sending of the reply
     std::uint64_t startTimeMs = 0;
-    std::string version;
+    std::string version {};
 
     template <typename Archive>
     void serialize(Archive& archive)
--- a/src/coordination/rollout_control.cc
+++ b/src/coordination/rollout_control.cc
@@ -15,7 +15,7 @@
 
 // Parts of the time for the proof: the full share begins, and the version may count as proved.
 constexpr double fullShareFrom = 0.5;
-constexpr double proofFrom = 0.65;
+constexpr double proofFrom = 0.8;
 
 // Part of the time budget by which the result is decided; the rest is for the store.
 constexpr double decisionPart = 0.95;
--- a/test/node_settings_test.cc
+++ b/test/node_settings_test.cc
@@ -90,3 +90,19 @@
 {
     CHECK_THROWS_AS(platform::readNodeSettings("nowhere.toml"), settings_error);
 }
+
+TEST_CASE("The bounds of roll-outs are read if they are there")
+{
+    CHECK(readText(sample).exposeShare == 0.1);
+    CHECK(readText(sample).exposeSlack == 0);
+    CHECK(readText(sample).rollbackBound == milliseconds(0));
+    const auto withBounds = [](const std::string& lines) {
+        auto text = sample;
+        return text.replace(text.find("drainMs"), 0, lines);
+    };
+    const auto settings = readText(withBounds("exposeShare = 0.2\nexposeSlack = 50\nrollbackMs = 5000\n"));
+    CHECK(settings.exposeShare == 0.2);
+    CHECK(settings.exposeSlack == 50);
+    CHECK(settings.rollbackBound == milliseconds(5000));
+    CHECK(errorFor(withBounds("exposeShare = \"much\"\n")).find("bounds.exposeShare") != std::string::npos);
+}
--- a/test/rollout_gateway_test.cc
+++ b/test/rollout_gateway_test.cc
@@ -24,6 +24,7 @@
         settings.changeBatchDelay = milliseconds(100);
         settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, coldSlack, { 0.1, 50, milliseconds(300), milliseconds(700) } };
         settings.stopGrace = milliseconds(1500);
+        settings.metricsAddress = freeAddress();
         settings.membershipTiming.renewalInterval = milliseconds(200);
         addSearcher("a", "old1", "z");
         addSearcher("a", "old2", "z");
@@ -52,6 +53,7 @@
     {
         secondSettings = settings;
         secondSettings.node = node_id("node-2");
+        secondSettings.metricsAddress.clear();
         secondSettings.clientAddress = freeAddress();
         secondSettings.readyAddress = freeAddress();
         secondSettings.peerAddress = freeAddress();
@@ -104,6 +106,9 @@
         return false;
     }
 
+    // Returns whether the metrics contain the line.
+    bool hasMetric(const std::string& line) { return exchange(settings.metricsAddress, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n").reply.body.find("\n" + line + "\n") != std::string::npos; }
+
     [[nodiscard]] std::string storedState() const { return store.valueOf("status/rollout/a"); }
     [[nodiscard]] std::size_t newArrivals() { return searchers["new1"]->arrivals() + searchers["new2"]->arrivals(); }
     [[nodiscard]] std::size_t oldArrivals() { return searchers["old1"]->arrivals() + searchers["old2"]->arrivals(); }
@@ -158,6 +163,13 @@
         CHECK(fixture.oldArrivals() == before);
     }
 
+    SECTION("and the metrics show it")
+    {
+        CHECK(fixture.runUntil([&] { return fixture.hasMetric(R"(limpet_rollout_state{service="a",state="succeeded"} 1)"); }));
+        CHECK(fixture.hasMetric(R"(limpet_rollout_state{service="a",state="running"} 0)"));
+        CHECK(fixture.hasMetric(R"(limpet_rollout_answers{service="a",version="target",kind="bad"} 0)"));
+    }
+
     SECTION("and the reports are removed")
     {
         CHECK(fixture.runUntil([&] { return !fixture.store.holds("limpetpier/rollouts/a/node-1"); }));
--- a/test/wire_protocol_test.cc
+++ b/test/wire_protocol_test.cc
@@ -225,3 +225,48 @@
     CHECK_THROWS_AS(decode("7", "400", number), document_error);
     CHECK_THROWS_AS(decode("7", "400", "26", number), document_error);
 }
+
+TEST_CASE("Roll-outs are translated between the store's documents and the product's types")
+{
+    const platform::wire_protocol protocol;
+
+    SECTION("an order")
+    {
+        const auto order = protocol.decodeRolloutOrder("op/rollout/a", R"({"service":"a","targetVersion":"v2","durationS":90.5})");
+        CHECK(order.target == software_version("v2"));
+        CHECK(order.duration == milliseconds(90'500));
+    }
+
+    SECTION("an order that can't be carried out")
+    {
+        for (const auto* text : { "", "7", "{}", R"({"service":"b","targetVersion":"v2","durationS":90})", R"({"service":"a","targetVersion":"","durationS":90})", R"({"service":"a","targetVersion":"v2","durationS":0})", R"({"service":"a","targetVersion":"v2","durationS":-1})", R"({"service":"a","targetVersion":"v2","durationS":"90"})", R"({"service":"a","targetVersion":["v2"],"durationS":90})" })
+            CHECK_THROWS_AS(protocol.decodeRolloutOrder("op/rollout/a", text), document_error);
+    }
+
+    SECTION("each state, which reads as it was written")
+    {
+        for (const auto phase : { rollout_phase::running, rollout_phase::switching, rollout_phase::succeeded, rollout_phase::rolled_back }) {
+            const rollout_status status { phase, software_version("v2"), 17, 1'800'000'000'000, { software_version("v1"), software_version("v0") } };
+            CHECK(protocol.decodeRolloutStatus("status/rollout/a", protocol.encodeRolloutStatus(status)) == status);
+        }
+    }
+
+    SECTION("a state in the operator's words")
+    {
+        const auto text = protocol.encodeRolloutStatus({ rollout_phase::switching, software_version("v2"), 17, 0, {} });
+        CHECK(text.find(R"("state":"running")") != std::string::npos);
+        CHECK(text.find(R"("targetVersion":"v2")") != std::string::npos);
+    }
+
+    SECTION("a state that isn't one")
+    {
+        for (const auto* text : { "", "{}", R"({"state":"done","targetVersion":"v2"})", R"({"state":"succeeded"})", R"({"state":"succeeded","targetVersion":"v2","excluded":"v1"})", R"({"state":"succeeded","targetVersion":"v2","excluded":[1]})" })
+            CHECK_THROWS_AS(protocol.decodeRolloutStatus("status/rollout/a", text), document_error);
+    }
+
+    SECTION("a searcher's version")
+    {
+        const auto entry = protocol.decodeSearcher("servers/i-1", R"({"service":"a","address":"10.0.0.9:8080","zone":"z","version":"v7","slots":2,"state":"ready","coldLeftMs":0,"seq":4,"born":17})");
+        CHECK(entry.version == software_version("v7"));
+    }
+}
