--- a/include/limpetpier/coordination/rollout_control.h
+++ b/include/limpetpier/coordination/rollout_control.h
@@ -136,6 +136,7 @@
     std::deque<snapshot> m_history;
     std::map<std::string, route_evidence> m_totals; // at the last evaluation
     double m_exposedShare = 0; // usable at present
+    double m_suspicion = 0; // highest likelihood ratio, as a logarithm, over the answers since any snapshot
     bool m_bad = false;
     bool m_storeReachable = true;
     std::optional<rollout_status> m_due; // status that should be stored
--- a/src/coordination/rollout_control.cc
+++ b/src/coordination/rollout_control.cc
@@ -36,6 +36,12 @@
 constexpr double maxRate = 0.5;
 constexpr double badLimit = 8;
 constexpr double goodLimit = -3;
+constexpr double lateGoodLimit = -2; // when the time for the proof is over
+
+// The same ratio over the latest answers only, above which a version is not proved yet.
+constexpr double suspicionLimit = 2;
+constexpr double lateSuspicionLimit = 4;
+
 constexpr std::uint64_t minBadAnswers = 4;
 
 // Answers of the other versions that are enough for their rate in a part of the roll-out.
@@ -271,6 +277,7 @@
     const bool fullShare = now >= m_startedAt + scaled(proofTime, fullShareFrom);
     m_exposedShare = m_limits.exposedShare * (fullShare ? fullShareFraction : firstShareFraction);
     m_totals = totals();
+    m_suspicion = 0;
     // Compares all answers since each snapshot, so that a version that turns bad later is found as early.
     for (const auto& since : m_history) {
         double all = 0;
@@ -280,9 +287,11 @@
             const auto seen = before == since.routes.end() ? total : total - before->second;
             const double value = badness(seen, total);
             m_bad = m_bad || (value >= badLimit && seen.targetBad >= minBadAnswers);
+            m_suspicion = std::max(m_suspicion, value);
             all += value;
             allBad += seen.targetBad;
         }
+        m_suspicion = std::max(m_suspicion, all);
         m_bad = m_bad || (all >= badLimit && allBad >= minBadAnswers);
     }
     if (m_history.empty() || now - m_history.back().at >= snapshotInterval)
@@ -304,17 +313,15 @@
         otherSlots += version == m_order->target ? 0 : capacity.slots;
     double all = 0;
     bool eachRoute = true;
-    bool noneSuspicious = true;
     for (const auto& [route, total] : m_totals) {
         const double value = badness(total, total);
         all += value;
         eachRoute = eachRoute && (value <= goodLimit || total.otherAnswers < minOtherAnswers);
-        noneSuspicious = noneSuspicious && value <= 0;
     }
-    if (all > goodLimit || !noneSuspicious)
-        return false;
-    // When the time is short, fewer answers on a rare route and fewer searchers are enough.
-    return now >= proofDue() || (eachRoute && target->second.warmSlots >= otherSlots);
+    // When the time is short, fewer answers and fewer searchers are enough.
+    if (now >= proofDue())
+        return all <= lateGoodLimit && m_suspicion <= lateSuspicionLimit;
+    return all <= goodLimit && m_suspicion <= suspicionLimit && eachRoute && target->second.warmSlots >= otherSlots;
 }
 
 std::vector<software_version> rollout_control::otherVersions() const
