--- a/include/limpetpier/coordination/rollout_control.h
+++ b/include/limpetpier/coordination/rollout_control.h
@@ -101,7 +101,7 @@
     [[nodiscard]] std::map<std::string, route_evidence> totals() const;
 
     // Returns true if requests are restricted in any way.
-    [[nodiscard]] bool isRestricting() const { return m_order || m_status; }
+    [[nodiscard]] bool isRestricting() const { return m_order || m_status || m_success; }
 
 private:
     // Sums of all reports at one time.
@@ -111,6 +111,7 @@
     };
 
     [[nodiscard]] bool answersOrder() const;
+    [[nodiscard]] bool isAlreadyOnTarget() const;
     [[nodiscard]] bool isFinal() const;
     [[nodiscard]] rollout_phase phase() const;
     [[nodiscard]] std::set<software_version> excluded() const;
@@ -126,6 +127,7 @@
     rollout_limits m_limits;
     std::optional<rollout_order> m_order;
     std::optional<rollout_status> m_status;
+    std::optional<rollout_status> m_success; // of the latest roll-out, also after its status is gone from the store
     monotonic_time m_startedAt {}; // of the order
     monotonic_time m_phaseSince {}; // when the stored phase was first seen
     std::set<software_version> m_abandoned; // targets of earlier orders without a result
--- a/programs/gateway/query_handler.cc
+++ b/programs/gateway/query_handler.cc
@@ -347,7 +347,7 @@
     void cancelRunningCalls(part& part, milliseconds gracePeriod)
     {
         for (const auto& [searcher, call] : std::exchange(part.runningCalls, {})) {
-            m_context.fleet.recordAbandoned(part.service, searcher, m_request.matchedRoute->name, *call);
+            m_context.fleet.recordAbandoned(part.service, searcher, m_request.matchedRoute->name, call);
             if (auto* pool = m_context.fleet.find(searcher))
                 pool->cancel(call, gracePeriod);
             call->finished = true;
--- a/programs/gateway/rollouts.cc
+++ b/programs/gateway/rollouts.cc
@@ -12,7 +12,7 @@
 
 // Between two reports of a process, and if only the answers of other versions changed.
 constexpr milliseconds reportInterval { 1000 };
-constexpr milliseconds minorReportInterval { 3000 };
+constexpr milliseconds minorReportInterval { 6000 };
 
 // Between two reports while bad answers of the target version arrive.
 constexpr milliseconds badReportInterval { 300 };
--- a/programs/gateway/searcher_call.h
+++ b/programs/gateway/searcher_call.h
@@ -29,6 +29,7 @@
     monotonic_time deadline; // passed on to the searcher, which stops work at this time
     monotonic_time stalledAt; // a searcher that has not replied by then counts as stalled
     std::function<void(call_result)> onResult; // called at most once
+    std::function<void(const call_result&)> onLateResult; // called if a cancelled call ends by itself or is aborted; may be empty
     monotonic_time writtenAt {};
     bool written = false; // to the connection
     bool isExtraSend = false; // taken from the retry budget; returned to it if never written
--- a/programs/gateway/searcher_connection_pool.cc
+++ b/programs/gateway/searcher_connection_pool.cc
@@ -264,6 +264,8 @@
     sendQueuedCalls();
     if (isAwaited)
         call->onResult(std::move(outcome));
+    else if (call->onLateResult)
+        call->onLateResult(outcome);
 }
 
 void searcher_connection_pool::applyNotice(const pooled_connection& from, const http_reply& reply)
@@ -482,6 +484,12 @@
         const auto closed = *expired;
         closed->channel->close();
         m_connections.erase(expired);
+        if (closed->call && closed->call->onLateResult) {
+            call_result aborted;
+            aborted.stage = exchange_stage::no_reply;
+            aborted.elapsed = std::chrono::duration_cast<microseconds>(now - closed->call->writtenAt);
+            closed->call->onLateResult(aborted);
+        }
         if (closed->verifying)
             handleConnectionFailure();
     }
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -127,17 +127,24 @@
         rollout->recordAnswer(version, route, result.reply.kind == reply_kind::failure, result.elapsed, pool->isCold(monotonic_clock::now()));
 }
 
-void searcher_fleet::recordAbandoned(const service_id& service, const searcher_id& searcher, const std::string& route, const searcher_call& call)
+void searcher_fleet::recordAbandoned(const service_id& service, const searcher_id& searcher, const std::string& route, const call_handle& call)
 {
     auto* rollout = activeRollout(service);
     const auto* pool = rollout == nullptr ? nullptr : find(searcher);
     if (pool == nullptr)
         return;
-    const auto now = monotonic_clock::now();
-    if (call.written)
-        rollout->recordAbandoned(pool->entry().version, route, std::chrono::duration_cast<microseconds>(now - call.writtenAt), pool->isCold(now));
-    else
+    if (!call->written) {
         rollout->recordUnsent(pool->entry().version);
+        return;
+    }
+    call->onLateResult = [this, service, searcher, route](const call_result& result) {
+        if (result.stage == exchange_stage::replied)
+            recordResult(service, searcher, route, result);
+        else if (auto* current = activeRollout(service)) {
+            if (const auto* owner = find(searcher))
+                current->recordAbandoned(owner->entry().version, route, result.elapsed, owner->isCold(monotonic_clock::now()));
+        }
+    };
 }
 
 void searcher_fleet::remove(const searcher_id& searcher)
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -50,10 +50,11 @@
     // Excludes the searchers of versions that roll-outs exclude at present.
     void applyRollouts();
 
-    // Record, for a roll-out, that a request is sent to a searcher, how the send ended, and that it was given up before.
+    // Record, for a roll-out, that a request is sent to a searcher, how the send ended, and that it is about to be
+    // cancelled. What a cancelled call returns within its grace period still counts.
     void recordSend(const searcher_connection_pool& pool);
     void recordResult(const service_id& service, const searcher_id& searcher, const std::string& route, const call_result& result);
-    void recordAbandoned(const service_id& service, const searcher_id& searcher, const std::string& route, const searcher_call& call);
+    void recordAbandoned(const service_id& service, const searcher_id& searcher, const std::string& route, const call_handle& call);
 
     // Returns the earliest time at which a searcher of the service that is not excluded may be sent a request, even if
     // its connections are busy now; the maximum if there is none.
--- a/programs/gateway/single_searcher_handler.cc
+++ b/programs/gateway/single_searcher_handler.cc
@@ -207,7 +207,7 @@
     void cancelRunningCalls(milliseconds gracePeriod)
     {
         for (const auto& [searcher, call] : std::exchange(m_runningCalls, {})) {
-            m_context.fleet.recordAbandoned(m_service, searcher, m_request.matchedRoute->name, *call);
+            m_context.fleet.recordAbandoned(m_service, searcher, m_request.matchedRoute->name, call);
             if (auto* pool = m_context.fleet.find(searcher))
                 pool->cancel(call, gracePeriod);
             call->finished = true;
--- a/src/coordination/rollout_control.cc
+++ b/src/coordination/rollout_control.cc
@@ -97,7 +97,10 @@
 
 bool rollout_control::answersOrder() const { return m_order && m_status && m_status->order == m_order->revision && m_status->target == m_order->target; }
 
-bool rollout_control::isFinal() const { return answersOrder() && (m_status->phase == rollout_phase::succeeded || m_status->phase == rollout_phase::rolled_back); }
+// Returns true if the service has moved to the ordered version before. The order may have been written again.
+bool rollout_control::isAlreadyOnTarget() const { return m_order && !answersOrder() && m_success && m_success->target == m_order->target; }
+
+bool rollout_control::isFinal() const { return isAlreadyOnTarget() || (answersOrder() && (m_status->phase == rollout_phase::succeeded || m_status->phase == rollout_phase::rolled_back)); }
 
 rollout_phase rollout_control::phase() const { return answersOrder() ? m_status->phase : rollout_phase::running; }
 
@@ -138,6 +141,10 @@
     if (!m_status || !status || m_status->phase != status->phase || m_status->order != status->order)
         m_phaseSince = now;
     m_status = status;
+    if (m_status && m_status->phase == rollout_phase::succeeded)
+        m_success = m_status;
+    else if (m_status)
+        m_success.reset();
 }
 
 void rollout_control::setReport(const node_id& node, const rollout_report& report)
@@ -161,12 +168,14 @@
 std::set<software_version> rollout_control::excluded() const
 {
     auto result = m_abandoned;
+    if (m_success)
+        result.insert(m_success->excluded.begin(), m_success->excluded.end());
     if (m_status) {
         result.insert(m_status->excluded.begin(), m_status->excluded.end());
         if (m_status->phase != rollout_phase::succeeded && !(answersOrder() && !isFinal()))
             result.insert(m_status->target);
     }
-    if (m_order && !(answersOrder() && m_status->phase == rollout_phase::rolled_back))
+    if (m_order && !(answersOrder() && m_status->phase == rollout_phase::rolled_back)) // ordered again
         result.erase(m_order->target);
     return result;
 }
@@ -345,6 +354,11 @@
         result.excluded.assign(versions.begin(), versions.end());
         return result;
     }
+    if (isAlreadyOnTarget()) {
+        auto result = *m_success;
+        result.order = m_order->revision;
+        return result;
+    }
     if (isFinal())
         return {};
     rollout_status result;
--- a/test/rollout_control_test.cc
+++ b/test/rollout_control_test.cc
@@ -51,6 +51,12 @@
         m_fiftiethBadAt.reset();
     }
 
+    void loseStatus()
+    {
+        m_status.reset();
+        m_statusRevision = 0;
+    }
+
     void withdraw()
     {
         m_order.reset();
@@ -467,6 +473,24 @@
     CHECK(model.sendsTo(newVersion) == before);
 }
 
+TEST_CASE("An order that is written again after its success changes nothing")
+{
+    deployment_model model(4, 5);
+    model.order(newVersion, budget);
+    model.run(budget);
+    REQUIRE(phaseOf(model) == rollout_phase::succeeded);
+
+    SECTION("with its state in the store") { }
+    SECTION("with its state lost from the store") { model.loseStatus(); }
+
+    model.order(newVersion, budget);
+    const auto before = model.sendsTo(oldVersion);
+    model.run(milliseconds(10'000));
+    CHECK(phaseOf(model) == rollout_phase::succeeded);
+    CHECK(model.sendsTo(oldVersion) == before);
+    CHECK(model.status().has_value());
+}
+
 TEST_CASE("A version that was rolled back can be ordered again")
 {
     deployment_model model(4, 5);
