--- a/programs/gateway/rollouts.cc
+++ b/programs/gateway/rollouts.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds statusRetryInterval { 1000 };
 constexpr milliseconds statusReadTimeout { 6000 };
 
+// Keys that one call writes at most.
+constexpr std::size_t maxChangesPerWrite = 24;
+
 // Between two removals of what processes that are gone left behind.
 constexpr milliseconds cleaningInterval { 1000 };
 
@@ -231,9 +234,7 @@
         }
         if (!view.isReachable())
             continue;
-        if (control.isActive())
-            publishReport(service, control.ownReport(), now);
-        else
+        if (!control.isActive())
             removeReports(service, view, now);
         const bool awaitsRead = state.written && state.writtenOver == state.statusRevision;
         if (state.statusWritePending || now < state.nextStatusWrite || (awaitsRead && now < state.nextStatusWrite + statusReadTimeout))
@@ -241,6 +242,8 @@
         if (const auto next = control.decide(now, wallClockMs(), rank(service, view)))
             writeStatus(service, *next, now);
     }
+    if (view.isReachable())
+        publishReports(now);
     m_fleet.applyRollouts();
 }
 
@@ -274,20 +277,39 @@
     });
 }
 
-void rollouts::publishReport(const service_id& service, const rollout_report& report, monotonic_time now)
+bool rollouts::isReportDue(const service_state& state, const rollout_report& report, monotonic_time now)
 {
-    auto& state = m_states[service];
     const auto& published = state.publishedReport;
     if (report == published || targetAnswers(report) + report.exposed == 0)
-        return;
+        return false;
     const bool isMinor = targetAnswers(report) == targetAnswers(published);
     const auto interval = targetBad(report) > targetBad(published) ? badReportInterval : (isMinor ? minorReportInterval : reportInterval);
-    if (now < state.publishedAt + interval)
+    return now >= state.publishedAt + interval;
+}
+
+// Stores the reports that are due, in one call.
+void rollouts::publishReports(monotonic_time now)
+{
+    if (now < m_nextReportWrite)
+        return;
+    std::map<service_id, rollout_report> reports;
+    std::vector<store_change> changes;
+    for (auto& [service, state] : m_states) {
+        const auto& control = m_fleet.rollouts().at(service);
+        if (!control.isActive() || changes.size() >= maxChangesPerWrite || !isReportDue(state, control.ownReport(), now))
+            continue;
+        state.publishedAt = now;
+        changes.push_back({ reportPrefix(service) + m_settings.node.value(), encodeReport(control.ownReport()) });
+        reports.emplace(service, control.ownReport());
+    }
+    if (changes.empty())
         return;
-    state.publishedAt = now;
-    m_store.writeIf({}, { { reportPrefix(service) + m_settings.node.value(), encodeReport(report) } }, [this, service, report](store_result result) {
-        if (result == store_result::ok && m_states[service].orderRevision.value() == report.order)
-            m_states[service].publishedReport = report;
+    m_nextReportWrite = now + badReportInterval;
+    m_store.writeIf({}, changes, [this, reports](store_result result) {
+        for (const auto& [service, report] : reports) {
+            if (result == store_result::ok && m_states[service].orderRevision.value() == report.order)
+                m_states[service].publishedReport = report;
+        }
     });
 }
 
@@ -301,11 +323,11 @@
     std::vector<store_change> removals;
     const auto prefix = reportPrefix(service);
     const bool isFirst = rank(service, view) == 0;
-    constexpr std::size_t maxRemovals = 16;
     const auto& items = view.rolloutItems();
-    for (auto item = items.lower_bound(prefix); item != items.end() && item->first.starts_with(prefix) && removals.size() < maxRemovals; ++item) {
+    for (auto item = items.lower_bound(prefix); item != items.end() && item->first.starts_with(prefix) && removals.size() < maxChangesPerWrite; ++item) {
         const node_id node(item->first.substr(prefix.size()));
-        if (node == m_settings.node || (isFirst && !view.isMember(node)))
+        const bool isOther = node.value().find('/') != std::string::npos; // of a service whose name begins alike
+        if (!isOther && (node == m_settings.node || (isFirst && !view.isMember(node))))
             removals.push_back({ item->first, {} });
     }
     if (!removals.empty())
--- a/programs/gateway/rollouts.h
+++ b/programs/gateway/rollouts.h
@@ -52,7 +52,8 @@
     void applyReports(const service_id& service, rollout_control& control, service_state& state, const deployment_view& view);
     void applyVersions(const service_id& service, rollout_control& control, const deployment_view& view, monotonic_time now) const;
     void writeStatus(const service_id& service, const rollout_status& status, monotonic_time now);
-    void publishReport(const service_id& service, const rollout_report& report, monotonic_time now);
+    [[nodiscard]] static bool isReportDue(const service_state& state, const rollout_report& report, monotonic_time now);
+    void publishReports(monotonic_time now);
     void removeReports(const service_id& service, const deployment_view& view, monotonic_time now);
     [[nodiscard]] std::size_t rank(const service_id& service, const deployment_view& view) const;
     [[nodiscard]] std::string reportPrefix(const service_id& service) const;
@@ -63,6 +64,7 @@
     const gateway_settings& m_settings;
     searcher_fleet& m_fleet;
     std::map<service_id, service_state> m_states;
+    monotonic_time m_nextReportWrite {};
     bool m_hasRead = false; // items were applied before
 };
 
