Roll-outs: the other versions are seen at the same time, also while the target version is loaded

Cause: in a run of all tests on the busy machine a good version was not rolled out, and a case relied on which of two equal searchers is chosen. Every third request prefers the others now, a part's rate of bad answers of the others is weighed with the whole, and the limit for a bad version is higher.

--- a/include/limpetpier/coordination/rollout_control.h
+++ b/include/limpetpier/coordination/rollout_control.h
@@ -70,6 +70,10 @@
     // Returns true if one more request may be sent to the target version.
     [[nodiscard]] bool mayExpose() const;
 
+    // Returns true if a request that may be sent to the target version should be. Every third one should not, where
+    // another version can take it.
+    [[nodiscard]] bool prefersTarget() const;
+
     // Records a request that is sent to a searcher of a version, or one that was never written.
     void recordSend(const software_version& version);
     void recordUnsent(const software_version& version);
@@ -137,6 +141,7 @@
     std::map<software_version, version_capacity> m_versions;
     std::deque<snapshot> m_history;
     std::map<std::string, route_evidence> m_totals; // at the last evaluation
+    std::uint32_t m_exposedInRow = 0; // requests to the target version since the last one to another
     double m_exposedShare = 0; // usable at present
     double m_suspicion = 0; // highest likelihood ratio, as a logarithm, over the answers since any snapshot
     bool m_bad = false;
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -219,7 +219,8 @@
     searcher_connection_pool* best = nullptr;
     double bestCost = 0;
     auto bestUse = version_use::free;
-    const auto preference = [](version_use use) { return use == version_use::limited ? 0 : (use == version_use::free ? 1 : 2); };
+    const int limitedPreference = rollout != nullptr && rollout->prefersTarget() ? 0 : 2;
+    const auto preference = [&](version_use use) { return use == version_use::limited ? limitedPreference : (use == version_use::free ? 1 : 3); };
     for (auto* pool : found->second) {
         if (std::find(excluded.begin(), excluded.end(), pool->entry().id) != excluded.end() || !pool->isUsable(now))
             continue;
--- a/src/coordination/rollout_control.cc
+++ b/src/coordination/rollout_control.cc
@@ -34,7 +34,7 @@
 constexpr double badRateStep = 0.1;
 constexpr double minRate = 0.005;
 constexpr double maxRate = 0.5;
-constexpr double badLimit = 8;
+constexpr double badLimit = 10;
 constexpr double goodLimit = -3;
 constexpr double lateGoodLimit = -2; // when the time for the proof is over
 
@@ -44,9 +44,15 @@
 
 constexpr std::uint64_t minBadAnswers = 4;
 
-// Answers of the other versions that are enough for their rate in a part of the roll-out.
+// Answers of the other versions on a route that are enough to judge it.
 constexpr std::uint64_t minOtherAnswers = 20;
 
+// Weight of the whole roll-out in the rate of the other versions in a part of it, in answers.
+constexpr double totalWeight = 10;
+
+// Requests in a row that prefer the target version, so that the others are seen at the same time.
+constexpr std::uint32_t maxExposedInRow = 2;
+
 // Snapshots against which later answers are compared, and the time between them.
 constexpr milliseconds snapshotInterval { 500 };
 constexpr std::size_t maxSnapshots = 240;
@@ -72,16 +78,18 @@
     }
 }
 
-double rateOfOthers(const route_evidence& seen)
+// Returns the rate of bad answers of the other versions in a part of the roll-out.
+double rateOfOthers(const route_evidence& seen, const route_evidence& total)
 {
-    const double rate = (static_cast<double>(seen.otherBad) + 0.5) / (static_cast<double>(seen.otherAnswers) + 10);
+    const double totalRate = (static_cast<double>(total.otherBad) + 0.5) / (static_cast<double>(total.otherAnswers) + 10);
+    const double rate = (static_cast<double>(seen.otherBad) + totalWeight * totalRate) / (static_cast<double>(seen.otherAnswers) + totalWeight);
     return std::clamp(rate, minRate, maxRate);
 }
 
 // Returns the logarithm of the likelihood ratio of a bad target version to one like the others.
 double badness(const route_evidence& seen, const route_evidence& total)
 {
-    const double rate = rateOfOthers(seen.otherAnswers >= minOtherAnswers ? seen : total);
+    const double rate = rateOfOthers(seen, total);
     const double badRate = rate + std::max(badRateStep, rate / 2);
     const auto bad = static_cast<double>(seen.targetBad);
     const auto good = static_cast<double>(seen.targetAnswers - seen.targetBad);
@@ -201,13 +209,16 @@
     return m_exposedShare * static_cast<double>(m_own.sent) + m_own.grant >= static_cast<double>(m_own.exposed) + 1;
 }
 
+bool rollout_control::prefersTarget() const { return m_exposedInRow < maxExposedInRow; }
+
 void rollout_control::recordSend(const software_version& version)
 {
     if (!isActive())
         return;
     ++m_own.sent;
-    if (version == m_order->target)
-        ++m_own.exposed;
+    const bool isTarget = version == m_order->target;
+    m_own.exposed += isTarget ? 1 : 0;
+    m_exposedInRow = isTarget ? m_exposedInRow + 1 : 0;
 }
 
 void rollout_control::recordUnsent(const software_version& version)
