Ask a searcher for its uptime when no connection to it was open

Cause: a searcher that crashed and restarted while this process had no open connection to it was taken for the process that it was before: a close shortly before the idle limit counted as an idle timeout, and connections that the gateway closes itself left no doubt at all. Change: a connection that is opened while no other is open begins with a health check, unless the searcher replied within the last 250 ms or its entry tells of a new start. Calls wait for it; they fail unsent if the searcher says that it is not well.

--- a/programs/gateway/searcher_connection_pool.cc
+++ b/programs/gateway/searcher_connection_pool.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds initialReconnectDelay { 100 };
 constexpr milliseconds maxReconnectDelay { 1000 };
 
+// A searcher that replied within this time has not restarted since: a process takes longer to end and to start.
+constexpr milliseconds minRestartTime { 250 };
+
 // Calls that may wait for a connection, per permitted connection.
 constexpr std::size_t maxQueuedCallsPerConnection = 4;
 
@@ -82,6 +85,8 @@
     m_coldUntil = coldUntil;
     if (restarted) {
         ++m_incarnation;
+        m_uptimeKnown = true; // the entry tells of the new start
+        m_wasConnected = false;
         m_restriction.reset();
         closeIdleConnections();
         m_reconnectAt = {}; // an unverified searcher is checked nevertheless: it may have restarted since the entry was written
@@ -143,6 +148,11 @@
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const pooled_connection_ptr& connection) { return connection->call != nullptr; }));
 }
 
+bool searcher_connection_pool::hasOpenConnection() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const pooled_connection_ptr& connection) { return connection->channel->isOpen(); });
+}
+
 std::size_t searcher_connection_pool::connectingCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const pooled_connection_ptr& connection) { return connection->channel->isConnecting(); }));
@@ -150,6 +160,8 @@
 
 searcher_connection_pool::pooled_connection_ptr searcher_connection_pool::findIdleConnection(monotonic_time now)
 {
+    if (!m_uptimeKnown)
+        return nullptr;
     // Takes the most recently used one, so that the others can reach their idle limit and be closed.
     for (auto connection = m_connections.rbegin(); connection != m_connections.rend(); ++connection) {
         if ((*connection)->channel->isIdle() && (*connection)->channel->usableUntil() > now && !(*connection)->verifying)
@@ -253,6 +265,7 @@
         failQueuedCalls();
     } else if (outcome.stage == exchange_stage::replied) {
         m_reconnectDelay = initialReconnectDelay;
+        m_lastReplyAt = monotonic_clock::now();
     }
     sendQueuedCalls();
     if (isAwaited)
@@ -302,10 +315,13 @@
 
 void searcher_connection_pool::openConnection()
 {
+    // A restart while no connection is open goes unnoticed, whatever closed the last one.
+    if (m_wasConnected && !hasOpenConnection() && monotonic_clock::now() - m_lastReplyAt >= minRestartTime)
+        m_uptimeKnown = false;
     auto opened = std::make_shared<pooled_connection>();
     opened->channel = http_channel::create(m_executor, parseTcpEndpoint(m_entry.address));
     opened->channel->useBudget(m_receiveBudget);
-    opened->verifying = !m_verified;
+    opened->verifying = !m_verified || !m_uptimeKnown;
     opened->incarnation = m_incarnation;
     m_connections.insert(m_connections.begin(), opened);
     opened->channel->onClosed([this, alive = m_alive, weak = std::weak_ptr(opened)] {
@@ -327,9 +343,12 @@
         return;
     }
     opened->idleSince = monotonic_clock::now();
+    m_wasConnected = true;
+    opened->verifying = false;
+    const bool isBeingVerified = std::any_of(m_connections.begin(), m_connections.end(), [](const pooled_connection_ptr& connection) { return connection->verifying && connection->channel->isOpen(); });
     if (!m_restriction.allowsSend(opened->idleSince))
         failQueuedCalls(); // the searcher pushed back or left while the connection was being opened
-    else if (!m_verified)
+    else if (!m_verified || (!m_uptimeKnown && !isBeingVerified))
         verify(opened);
     else
         sendQueuedCalls();
@@ -362,13 +381,13 @@
     // An unhealthy searcher is checked again: it may be shutting down, or its health check may be wrong.
     const bool isUnhealthy = !report.healthy && ++m_unhealthyReplies < maxUnhealthyReplies;
     if (report.searcher != m_entry.id || isUnhealthy) {
-        logEvent(event::searcher_ill, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("answered", report.searcher.value()).add("healthy", report.healthy ? "yes" : "no"));
-        m_reconnectAt = monotonic_clock::now() + maxReconnectDelay;
-        closeIdleConnections();
+        handleUnhealthyReply(report);
         return;
     }
     logEvent(event::searcher_verified, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("cold_ms", report.coldTimeLeft).add("healthy", report.healthy ? "yes" : "no"));
     m_verified = true;
+    m_uptimeKnown = true;
+    m_lastReplyAt = monotonic_clock::now();
     m_unhealthyReplies = 0;
     m_reconnectDelay = initialReconnectDelay;
     m_reconnectAt = {};
@@ -377,12 +396,20 @@
     sendQueuedCalls();
 }
 
+void searcher_connection_pool::handleUnhealthyReply(const health_report& report)
+{
+    logEvent(event::searcher_ill, event_fields().add("searcher", m_entry.id.value()).add("service", m_entry.service.value()).add("answered", report.searcher.value()).add("healthy", report.healthy ? "yes" : "no"));
+    m_reconnectAt = monotonic_clock::now() + maxReconnectDelay;
+    closeIdleConnections();
+    failQueuedCalls();
+}
+
 // Handles a failed connection. While another is open, the searcher works and has only reached its connection limit.
 // Otherwise it may have restarted and is verified before it is used again.
 void searcher_connection_pool::handleConnectionFailure()
 {
     delayReconnect(monotonic_clock::now());
-    if (std::any_of(m_connections.begin(), m_connections.end(), [](const pooled_connection_ptr& connection) { return connection->channel->isOpen(); }))
+    if (hasOpenConnection())
         return;
     markUnverified("connection_failed");
     failQueuedCalls();
@@ -435,9 +462,11 @@
         return;
     }
     const bool isIdleTimeout = now - closed->idleSince >= m_idleLimit.value_or(defaultIdleLimit) - idleLimitTolerance;
-    const bool noneOpen = std::none_of(m_connections.begin(), m_connections.end(), [](const pooled_connection_ptr& connection) { return connection->channel->isOpen(); });
-    // Without an open connection a restart would go unnoticed, so the searcher is verified before it is used again.
-    if (noneOpen && m_verified && !m_entry.draining && !isIdleTimeout) {
+    if (hasOpenConnection())
+        return;
+    m_uptimeKnown = m_uptimeKnown && !m_wasConnected;
+    // A close that is no idle timeout may mean that the searcher is gone: it is verified at once.
+    if (m_verified && !m_entry.draining && !isIdleTimeout) {
         markUnverified("connection_closed");
         m_reconnectAt = std::max(m_reconnectAt, now + initialReconnectDelay);
     }
--- a/programs/gateway/searcher_connection_pool.h
+++ b/programs/gateway/searcher_connection_pool.h
@@ -108,6 +108,7 @@
     void applyNotice(const pooled_connection& from, const http_reply& reply);
     void recordOutcome(bool failed, monotonic_time now);
     void handleClosedConnection(const pooled_connection_ptr& closed);
+    void handleUnhealthyReply(const health_report& report);
     void handleConnectionFailure();
     void delayReconnect(monotonic_time now);
     void markUnverified(const char* why);
@@ -116,6 +117,7 @@
     void closeAllConnections();
     pooled_connection_ptr findIdleConnection(monotonic_time now);
     [[nodiscard]] std::size_t connectingCount() const;
+    [[nodiscard]] bool hasOpenConnection() const;
 
     asio::any_io_executor m_executor;
     const gateway_protocol& m_protocol;
@@ -129,6 +131,9 @@
     std::uint64_t m_incarnation = 0; // incremented when the searcher restarts
     bool m_evacuated = false;
     bool m_verified = true;
+    bool m_uptimeKnown = true; // false if the searcher may have restarted while no connection was open
+    bool m_wasConnected = false;
+    monotonic_time m_lastReplyAt {}; // when it last completed a reply
     std::uint32_t m_unhealthyReplies = 0; // in a row
     monotonic_time m_reconnectAt {}; // no connection is opened before
     milliseconds m_reconnectDelay;
--- a/test/searcher_connection_pool_test.cc
+++ b/test/searcher_connection_pool_test.cc
@@ -308,3 +308,70 @@
         CHECK_FALSE(fixture.pool.isUsable(monotonic_clock::now()));
     }
 }
+
+TEST_CASE("A searcher may have restarted while no connection was open")
+{
+    pool_fixture fixture;
+    fixture.send();
+    fixture.runFor(milliseconds(400)); // longer than a restart may take
+    REQUIRE(fixture.results.size() == 1);
+    REQUIRE(fixture.searcher.healthChecks() == 0);
+
+    SECTION("after the gateway closed its idle connection, the next call waits for a health check")
+    {
+        fixture.pool.maintain(monotonic_clock::now() + milliseconds(1500));
+        REQUIRE(fixture.pool.connectionCount() == 0);
+
+        SECTION("and is not sent to a searcher that is cold and has no allowance left")
+        {
+            fixture.searcher.setCold(4000);
+            fixture.send("id2");
+            fixture.runFor(milliseconds(200));
+            CHECK(fixture.searcher.healthChecks() == 1);
+            CHECK(fixture.searcher.arrivals() == 1);
+            REQUIRE(fixture.results.size() == 2);
+            CHECK(fixture.results[1].stage == exchange_stage::not_written);
+        }
+        SECTION("and is sent to a warm one; two calls at once cause one health check")
+        {
+            fixture.send("id2");
+            fixture.send("id3");
+            fixture.runFor(milliseconds(200));
+            CHECK(fixture.searcher.healthChecks() == 1);
+            CHECK(fixture.searcher.arrivals() == 3);
+            CHECK(fixture.results.size() == 3);
+        }
+        SECTION("and fails if the searcher says that it is not well")
+        {
+            fixture.searcher.setHealthy(false);
+            fixture.send("id2");
+            fixture.runFor(milliseconds(200));
+            REQUIRE(fixture.results.size() == 2);
+            CHECK(fixture.results[1].stage == exchange_stage::not_written);
+        }
+    }
+    SECTION("while a connection is open, no health check is needed")
+    {
+        fixture.send("id2");
+        fixture.runFor(milliseconds(100));
+        CHECK(fixture.searcher.healthChecks() == 0);
+        CHECK(fixture.searcher.arrivals() == 2);
+    }
+}
+
+TEST_CASE("A searcher that closes each connection after its reply is asked how long it has been up unless it replied just before")
+{
+    pool_fixture fixture;
+    fixture.searcher.setBehaviour(standins::searcher_behaviour::closing);
+    for (int number = 0; number < 3; ++number) {
+        fixture.send("id" + std::to_string(number));
+        fixture.runFor(milliseconds(50));
+    }
+    CHECK(fixture.searcher.arrivals() == 3);
+    CHECK(fixture.searcher.healthChecks() == 0);
+    fixture.runFor(milliseconds(400));
+    fixture.send("id3");
+    fixture.runFor(milliseconds(50));
+    CHECK(fixture.searcher.arrivals() == 4);
+    CHECK(fixture.searcher.healthChecks() == 1);
+}
