Add workspaces and the digests of their keys to the routing table

The configuration names customers' workspaces; the table finds one by the digest of a key or by its name. Nothing uses the table yet.

--- a/include/limpetpier/state/routing_table.h
+++ b/include/limpetpier/state/routing_table.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "limpetpier/state/clock.h"
 #include "limpetpier/state/ids.h"
+#include "limpetpier/state/workspace.h"
 
 namespace limpetpier {
 
@@ -39,6 +41,7 @@
     std::vector<service_id> shards; // services that a query fans out to; empty for single-searcher routes
     std::size_t topRecords = 0; // maximum number of records in the merged answer to a query
     double minCoverage = 1; // share of the shards that an answer must include, from 0 to 1
+    bool isPublic = false; // needs no key; without effect if the table has no workspaces
 
     [[nodiscard]] bool isQuery() const { return !shards.empty(); }
 };
@@ -63,7 +66,7 @@
 class routing_table {
 public:
     routing_table() = default;
-    routing_table(table_version version, std::vector<route> routes, std::map<service_id, service_limits> services, client_limits limits);
+    routing_table(table_version version, std::vector<route> routes, std::map<service_id, service_limits> services, client_limits limits, std::optional<workspace_directory> workspaces = {});
 
     [[nodiscard]] table_version version() const { return m_version; }
     [[nodiscard]] const client_limits& limits() const { return m_limits; }
@@ -76,11 +79,24 @@
     // Returns the limits of a service, or null if this version does not define it.
     [[nodiscard]] const service_limits* service(const service_id& service) const;
 
+    // Returns whether this version defines workspaces, even if none. Requests then need a key unless their route is
+    // public.
+    [[nodiscard]] bool hasWorkspaces() const { return m_workspaces.has_value(); }
+
+    // Returns the workspace that the key names, or null if there is none.
+    [[nodiscard]] const limpetpier::workspace* findWorkspace(const key_digest& key) const { return m_workspaces ? m_workspaces->find(key) : nullptr; }
+
+    // Returns the workspace with this name, or null if this version does not define it.
+    [[nodiscard]] const limpetpier::workspace* workspace(const workspace_id& id) const { return m_workspaces ? m_workspaces->find(id) : nullptr; }
+
+    [[nodiscard]] const std::optional<workspace_directory>& workspaces() const { return m_workspaces; }
+
 private:
     table_version m_version;
     std::vector<route> m_routes; // sorted by host, then by descending prefix length
     std::map<service_id, service_limits> m_services;
     client_limits m_limits;
+    std::optional<workspace_directory> m_workspaces;
 };
 
 } // namespace limpetpier
--- a/src/state/routing_table.cc
+++ b/src/state/routing_table.cc
@@ -17,11 +17,12 @@
 
 } // namespace
 
-routing_table::routing_table(table_version version, std::vector<route> routes, std::map<service_id, service_limits> services, client_limits limits)
+routing_table::routing_table(table_version version, std::vector<route> routes, std::map<service_id, service_limits> services, client_limits limits, std::optional<workspace_directory> workspaces)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
     , m_limits(limits)
+    , m_workspaces(std::move(workspaces))
 {
     for (auto& route : m_routes)
         route.host = normalizedHost(route.host);
