Check keys of workspaces and name the workspace to searchers

Cause: a configuration may list workspaces with keys; their requests were served without a check, and the key was passed on to the searchers. Change: checkAccess() decides by the routing table and the digest of the presented key. The key and the caller's own workspace fields are taken out of a request when it is decoded, so that no send, log line or error can hold them; the searcher gets the workspace found. The table that a gateway keeps and passes to its peers holds digests instead of keys, since frames between gateways are authenticated but not encrypted. A configuration without workspaces changes nothing.

--- a/include/limpetpier/protocol/gateway_protocol.h
+++ b/include/limpetpier/protocol/gateway_protocol.h
@@ -17,10 +17,18 @@
     std::string id; // identifies this attempt of the client; empty if not given
     std::optional<milliseconds> timeLeft; // time until the client gives up
     std::string host;
-    http_request message; // as received
+    http_request message; // as received, without the fields that credential_policy::check takes out
+    std::optional<key_digest> key; // that the request presents; empty if it has none or credentials are not checked
+    workspace_id workspace; // named to the searchers; empty if none is
     std::string forwardedHead; // encoded request line and header fields common to all calls made for it
 };
 
+// What happens to the header fields of a request that present a key or name a workspace.
+enum class credential_policy : std::uint8_t {
+    forward, // forwarded like other fields, for a configuration without workspaces
+    check, // removed from the request; the key is decoded
+};
+
 // Whether a searcher ran a request.
 enum class reply_kind : std::uint8_t {
     success, // ran; the complete result has a signature
@@ -59,10 +67,12 @@
     gateway_protocol(const gateway_protocol&) = delete;
     gateway_protocol& operator=(const gateway_protocol&) = delete;
 
-    // Decodes a client's request.
-    [[nodiscard]] virtual client_request decodeRequest(http_request request) const = 0;
+    // Decodes a client's request. One that presents more than one key, or a malformed one, gets a key that names no
+    // workspace.
+    [[nodiscard]] virtual client_request decodeRequest(http_request request, credential_policy credentials) const = 0;
 
-    // Encodes a request to a searcher. It names the searcher, so that any other one rejects it.
+    // Encodes a request to a searcher. It names the searcher, so that any other one rejects it, and the request's
+    // workspace if there is one.
     [[nodiscard]] virtual std::string encodeCall(const client_request& request, const searcher_id& searcher, milliseconds timeLeft) const = 0;
 
     // Returns false if the reply identifies a different request.
@@ -97,9 +107,12 @@
     [[nodiscard]] virtual std::string searcherPrefix() const = 0;
     [[nodiscard]] virtual std::string evacuationPrefix() const = 0;
 
-    // Decode values of the store. Throw document_error if a value is invalid.
+    // Decode values of the store. Throw document_error, which quotes no key, if a value is invalid.
     [[nodiscard]] virtual routing_table decodeTable(const std::string& text) const = 0;
     [[nodiscard]] virtual searcher_entry decodeSearcher(const std::string& key, const std::string& text) const = 0;
+
+    // Replaces the keys in a valid stored table by their digests. decodeTable() returns the same table for the result.
+    [[nodiscard]] virtual std::string redactTable(const std::string& text) const = 0;
 };
 
 } // namespace limpetpier
--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -270,7 +270,7 @@
     std::int64_t ageMs = 0; // time since the store last answered the gateway
     std::uint64_t revision = 0; // store revision of this view
     bool unchanged = false; // the requester's view is as recent; the fields below are empty
-    std::string tableText; // the operator's configuration as stored
+    std::string tableText; // the operator's configuration as stored, with digests instead of keys: frames are not encrypted
     std::vector<data_centre_id> evacuatedZones;
     std::vector<viewed_searcher> searchers;
     std::vector<node_id> members;
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -36,6 +36,14 @@
         throw document_error("searchers", entry.id.value(), "slots or a cold time out of range", "at least 1 slot and a cold time of at most ten years", "the entry is ignored");
 }
 
+void logAmbiguousKeys(const routing_table& table)
+{
+    if (!table.hasWorkspaces())
+        return;
+    for (const auto& key : table.workspaces()->ambiguousKeys())
+        logEvent(event::workspace_key_ambiguous, event_fields().add("key_digest", key.shortName()).add("table", table.version().value()));
+}
+
 // Time after the start at which the member list counts as complete even if it still changes.
 constexpr milliseconds maxSettleTime { 2500 };
 
@@ -129,9 +137,10 @@
         auto table = std::make_shared<const routing_table>(m_protocol.decodeTable(text));
         if (m_table && table->version() <= m_table->version())
             return;
-        logEvent(event::table_adopted, event_fields().add("version", table->version().value()).add("before", m_table ? m_table->version().value() : 0).add("routes", table->routes().size()));
+        logEvent(event::table_adopted, event_fields().add("version", table->version().value()).add("before", m_table ? m_table->version().value() : 0).add("routes", table->routes().size()).add("workspaces", table->hasWorkspaces() ? table->workspaces()->size() : 0));
+        m_tableText = table->hasWorkspaces() ? m_protocol.redactTable(text) : text;
         m_table = std::move(table);
-        m_tableText = text;
+        logAmbiguousKeys(*m_table);
     } catch (const std::exception& error) {
         logEvent(event::table_unreadable, event_fields().add("error", error.what()));
     }
--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -88,7 +88,7 @@
     const gateway_protocol& m_protocol;
     const gateway_settings& m_settings;
     std::shared_ptr<const routing_table> m_table;
-    std::string m_tableText; // of m_table, as stored
+    std::string m_tableText; // of m_table, as stored, but with digests instead of keys
     searcher_directory m_directory;
     std::set<data_centre_id> m_evacuatedZones;
     member_share m_share;
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include "gateway_request_handler.h"
+#include "limpetpier/coordination/caller_access.h"
 #include "limpetpier/coordination/return_delay.h"
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/endpoints.h"
@@ -15,6 +16,7 @@
 
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusUnavailable = 503;
 
 // Between two runs of the periodic maintenance.
@@ -83,7 +85,8 @@
 
 void gateway::handleRequest(http_request message, client_call call)
 {
-    auto request = std::make_shared<client_request>(m_protocol.decodeRequest(std::move(message)));
+    const auto credentials = m_view.table() && m_view.table()->hasWorkspaces() ? credential_policy::check : credential_policy::forward;
+    auto request = std::make_shared<client_request>(m_protocol.decodeRequest(std::move(message), credentials));
     if (!m_view.table())
         call.answer(m_protocol.encodeFailure(statusUnavailable, "no configuration yet; come back in a moment", configurationRetryDelay));
     else if (request->id.empty() || request->host.empty())
@@ -102,6 +105,13 @@
         call.answer(m_protocol.encodeFailure(statusNotFound, "no route for this host and path", {}));
         return;
     }
+    const auto access = checkAccess(*m_view.table(), *rule, request->key);
+    if (!access.isAllowed) {
+        refuseUnauthorized(*request, *rule, call);
+        return;
+    }
+    if (access.caller != nullptr)
+        request->workspace = access.caller->id;
     const auto now = monotonic_clock::now();
     if (isLogged(event::request_begun))
         logEvent(event::request_begun, event_fields().add("request", request->id).add("route", rule->name).add("table", m_view.table()->version().value()).add("time_left_ms", request->timeLeft.value_or(rule->timeout)).add("view_age_ms", m_view.age()));
@@ -120,10 +130,22 @@
     auto& statistics = m_routeRecords[rule->name];
     const auto waited = request->timeLeft ? statistics.clientWait.record(*request->timeLeft, rule->latencyObjective / gather_policy::maxWaitDivisor) : milliseconds(0);
     accepted_request run { std::move(request), m_view.table(), rule, &statistics, now, waited, now + timeLeft, std::move(call) };
-    run.priority = rule->priority;
+    run.workspace = run.clientRequest->workspace;
+    run.priority = requestPriority(*rule, access.caller);
     admit(std::move(run));
 }
 
+void gateway::refuseUnauthorized(const client_request& request, const limpetpier::route& rule, client_call& call)
+{
+    if (isLogged(event::request_unauthorized))
+        logEvent(event::request_unauthorized, event_fields().add("request", request.id).add("route", rule.name).add("key_digest", request.key ? request.key->shortName() : "").add("table", m_view.table()->version().value()).add("view_age_ms", m_view.age()));
+    request_report refusal;
+    refusal.route = rule.name;
+    refusal.outcome = "unauthorized";
+    m_metrics.record(refusal);
+    call.answer(m_protocol.encodeFailure(statusUnauthorized, "this route needs a key that the current configuration knows", {}));
+}
+
 void gateway::admit(accepted_request run)
 {
     startRequest(std::move(run));
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -29,6 +29,9 @@
     void handleRequest(http_request message, client_call call);
     void route(std::shared_ptr<client_request> request, client_call call);
 
+    // Answers a request whose key does not permit the route.
+    void refuseUnauthorized(const client_request& request, const limpetpier::route& rule, client_call& call);
+
     // Decides whether a request with a route may start now. May answer it with a refusal, or start it later.
     void admit(accepted_request run);
     void startRequest(accepted_request run);
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -48,6 +48,7 @@
     event_entry { event::table_adopted, event_level::info, "table_adopted" },
     event_entry { event::table_unreadable, event_level::error, "table_unreadable" },
     event_entry { event::evacuation_changed, event_level::info, "evacuation_changed" },
+    event_entry { event::workspace_key_ambiguous, event_level::warning, "workspace_key_ambiguous" },
     event_entry { event::entry_unreadable, event_level::warning, "entry_unreadable" },
     event_entry { event::store_answer_unreadable, event_level::warning, "store_answer_unreadable" },
     event_entry { event::watch_lost, event_level::warning, "watch_lost" },
@@ -70,6 +71,7 @@
     event_entry { event::part_missing, event_level::info, "part_missing", log_importance::routine },
     event_entry { event::part_failed, event_level::info, "part_failed" },
     event_entry { event::request_unrouted, event_level::info, "request_unrouted", log_importance::routine },
+    event_entry { event::request_unauthorized, event_level::info, "request_unauthorized", log_importance::routine },
     event_entry { event::readiness_changed, event_level::info, "readiness_changed" },
     event_entry { event::log_left_out, event_level::warning, "log_left_out" },
 };
--- a/test/searcher_connection_pool_test.cc
+++ b/test/searcher_connection_pool_test.cc
@@ -27,7 +27,7 @@
     {
         http_request message { "GET", "/x", { { "Host", "h" }, { "Request-Id", id } }, {} };
         auto call = std::make_shared<searcher_call>();
-        call->request = std::make_shared<client_request>(protocol.decodeRequest(std::move(message)));
+        call->request = std::make_shared<client_request>(protocol.decodeRequest(std::move(message), credential_policy::forward));
         call->deadline = monotonic_clock::now() + milliseconds(2000);
         call->stalledAt = call->deadline;
         call->onResult = [this](call_result result) { results.push_back(std::move(result)); };
--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -42,8 +42,8 @@
     // "unsafe" to service "a"; extraRoutes is JSON that is appended to them.
     void writeConfiguration(std::uint64_t version, const std::string& extraRoutes = "") { store.put("op/config", makeConfiguration(version, extraRoutes)); }
 
-    // Returns the configuration that writeConfiguration() writes.
-    static std::string makeConfiguration(std::uint64_t version, const std::string& extraRoutes = "")
+    // Returns the configuration that writeConfiguration() writes; members is JSON that is appended to its members.
+    static std::string makeConfiguration(std::uint64_t version, const std::string& extraRoutes = "", const std::string& members = "")
     {
         std::string services;
         for (const auto* name : { "a", "b", "c" })
@@ -52,7 +52,7 @@
             {"name":"query","host":"h.example","prefix":"/query/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"gather":["a","b","c"],"maxAttempts":2,"topK":3,"minCoverage":0.6},
             {"name":"safe","host":"h.example","prefix":"/safe/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"a","maxAttempts":2},
             {"name":"unsafe","host":"h.example","prefix":"/unsafe/","type":"unsafe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"a","maxAttempts":2})"
-            + extraRoutes + R"(],"services":[)" + services + R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":500,"idleTimeoutMs":5000}})";
+            + extraRoutes + R"(],"services":[)" + services + R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":500,"idleTimeoutMs":5000})" + members + "}";
     }
 
     // Starts the gateway with short timeouts; does not wait until it is ready.
--- a/test/wire_protocol_test.cc
+++ b/test/wire_protocol_test.cc
@@ -12,7 +12,7 @@
 
 client_request makeRequest()
 {
-    return protocol.decodeRequest({ "GET", "/a/b?c", { { "Host", "shop.example" }, { "Request-Id", "id1" }, { "Deadline-Ms", "400" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" }, { "Target-Instance", "forged" } }, "" });
+    return protocol.decodeRequest({ "GET", "/a/b?c", { { "Host", "shop.example" }, { "Request-Id", "id1" }, { "Deadline-Ms", "400" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" }, { "Target-Instance", "forged" } }, "" }, credential_policy::forward);
 }
 
 bool contains(const std::string& text, const std::string& part)
@@ -37,7 +37,7 @@
     CHECK(request.timeLeft == milliseconds(400));
     CHECK(request.host == "shop.example");
     const auto invalid = GENERATE("soon", "400abc", "-1", "", "99999999999999999999");
-    CHECK_FALSE(protocol.decodeRequest({ "GET", "/", { { "Deadline-Ms", invalid } }, "" }).timeLeft);
+    CHECK_FALSE(protocol.decodeRequest({ "GET", "/", { { "Deadline-Ms", invalid } }, "" }, credential_policy::forward).timeLeft);
 }
 
 TEST_CASE("A call names the searcher and the time left, and forwards the other end-to-end fields")
