--- a/include/limpetpier/state/workspace.h
+++ b/include/limpetpier/state/workspace.h
@@ -32,7 +32,7 @@
 
     static key_digest of(std::string_view key);
 
-    // Parses the result of hex(). Returns nothing if the text is anything else.
+    // Parses the result of hex(). Returns nothing if the text is anything else or the digest of no key.
     static std::optional<key_digest> parse(std::string_view hex);
 
     [[nodiscard]] std::string hex() const;
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -141,7 +141,9 @@
         logEvent(event::request_unauthorized, event_fields().add("request", request.id).add("route", rule.name).add("key_digest", request.key ? request.key->shortName() : "").add("table", m_view.table()->version().value()).add("view_age_ms", m_view.age()));
     request_report refusal;
     refusal.route = rule.name;
+    refusal.tableVersion = m_view.table()->version();
     refusal.outcome = "unauthorized";
+    refusal.status = statusUnauthorized;
     m_metrics.record(refusal);
     call.answer(m_protocol.encodeFailure(statusUnauthorized, "this route needs a key that the current configuration knows", {}));
 }
--- a/src/state/workspace.cc
+++ b/src/state/workspace.cc
@@ -32,6 +32,8 @@
         if (std::from_chars(begin, begin + 2, result.m_bytes[index], base).ptr != begin + 2)
             return {};
     }
+    if (result == key_digest {})
+        return {};
     return result;
 }
 
--- a/test/workspace_test.cc
+++ b/test/workspace_test.cc
@@ -71,6 +71,7 @@
         CHECK_FALSE(key_digest::parse(""));
         CHECK_FALSE(key_digest::parse("ba78"));
         CHECK_FALSE(key_digest::parse(std::string(64, 'g')));
+        CHECK_FALSE(key_digest::parse(key_digest {}.hex()));
         CHECK_FALSE(key_digest::parse(std::string(32, '+') + std::string(32, '1')));
     }
 }
@@ -148,7 +149,8 @@
         R"(,"tenants":[{"name":"w","apiKeys":"secret-key"}])", R"(,"tenants":[{"name":"w","apiKeys":["secret-key",7]}])", R"(,"tenants":[{"name":"w","apiKeys":{"a":"secret-key"}}])",
         R"(,"tenants":[{"name":"w","apiKeys":["secret-key"],"priority":"secret-key"}])", R"(,"tenants":[{"name":"w","apiKeys":["secret-key"],"ratePerS":-1}])",
         R"(,"tenants":[{"apiKeys":["secret-key"]}])", R"(,"tenants":[{"name":"","apiKeys":["secret-key"]}])", R"(,"tenants":[{"name":"w\r\nX: y","apiKeys":["secret-key"]}])",
-        R"(,"tenants":[{"name":"w","apiKeys":[]},{"name":"w","apiKeys":["secret-key"]}])", R"(,"tenants":[{"name":"w","keyDigests":["secret-key"]}])");
+        R"(,"tenants":[{"name":"w","apiKeys":[]},{"name":"w","apiKeys":["secret-key"]}])", R"(,"tenants":[{"name":"w","keyDigests":["secret-key"]}])",
+        R"(,"tenants":[{"name":"w","apiKeys":[4815162342]}])", R"(,"tenants":[{"name":"w","apiKeys":4815162342}])");
     CAPTURE(invalid);
     std::string error;
     try {
@@ -158,6 +160,7 @@
     }
     CHECK(contains(error, "tenants"));
     CHECK_FALSE(contains(error, "secret-key"));
+    CHECK_FALSE(contains(error, "4815162342"));
 }
 
 TEST_CASE("The error of a configuration that is not an object quotes nothing of it")
