Use a part of the retry slack only after holding it for a whole window

Change: sustained_share gives the smallest part held during the last window: nothing in a process's first window or after a suspension, a larger part one window later, a smaller one at once. retry_allowance and its tests are unchanged. The gateway fixture waits out a short window after the start and then sets the old one, so its tests run under the same limits as before.

--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -26,6 +26,9 @@
 // Returns whether two entries with the same id describe the same start of the searcher.
 bool isSameStart(const searcher_entry& left, const searcher_entry& right) { return left.startTimeMs == right.startTimeMs && left.address == right.address; }
 
+// Without maintenance for this long the process was suspended. Less than the lease of its entry in the member list.
+constexpr milliseconds maxMaintenanceSilence { 4000 };
+
 } // namespace
 
 searcher_fleet::searcher_fleet(asio::any_io_executor executor, const gateway_protocol& protocol, data_centre_id ownZone, deployment_limits limits)
@@ -34,6 +37,7 @@
     , m_ownZone(std::move(ownZone))
     , m_deploymentLimits(limits)
     , m_receiveBudget(std::make_shared<receive_budget>(maxIncompleteReplyBytes))
+    , m_retrySlackShare(limits.retryWindow, maxMaintenanceSilence)
 {
 }
 
@@ -58,15 +62,23 @@
 void searcher_fleet::updateConfiguration(const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated)
 {
     m_evacuated = evacuated;
-    m_retrySlack = share.slackShare(m_deploymentLimits.retrySlack);
-    for (auto& [service, budget] : m_retryBudgets)
-        budget.changeLimits(m_deploymentLimits.retryShare, m_retrySlack, m_deploymentLimits.retryWindow);
+    const auto now = monotonic_clock::now();
+    m_retrySlackShare.changeWindow(m_deploymentLimits.retryWindow);
+    m_retrySlackShare.set(share.slackShare(m_deploymentLimits.retrySlack), now);
+    applyRetryLimits(now);
     for (const auto& [id, pool] : m_pools)
         pool->setEvacuated(evacuated.contains(pool->entry().zone));
     for (const auto& [service, pools] : m_poolsByService)
         updateLimits(service, table, share);
 }
 
+void searcher_fleet::applyRetryLimits(monotonic_time now)
+{
+    m_retrySlack = m_retrySlackShare.usable(now);
+    for (auto& [service, budget] : m_retryBudgets)
+        budget.changeLimits(m_deploymentLimits.retryShare, m_retrySlack, m_deploymentLimits.retryWindow);
+}
+
 void searcher_fleet::addOrUpdate(const searcher_directory::record& record)
 {
     const auto& entry = record.entry;
@@ -243,6 +255,8 @@
     }
     for (const auto& removed : m_removedPools)
         removed.pool->maintain(now);
+    if (m_retrySlackShare.usable(now) != m_retrySlack)
+        applyRetryLimits(now);
     deleteRemovedPools(now);
 }
 
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -7,6 +7,7 @@
 
 #include "limpetpier/coordination/member_share.h"
 #include "limpetpier/coordination/retry_allowance.h"
+#include "limpetpier/coordination/sustained_share.h"
 #include "searcher_connection_pool.h"
 
 namespace limpetpier {
@@ -93,6 +94,7 @@
         std::unique_ptr<searcher_connection_pool> pool;
         monotonic_time removedAt;
     };
+    void applyRetryLimits(monotonic_time now);
     void updateLimits(const service_id& service, const routing_table& table, const member_share& share);
 
     asio::any_io_executor m_executor;
@@ -100,7 +102,8 @@
     data_centre_id m_ownZone;
     deployment_limits m_deploymentLimits;
     std::shared_ptr<receive_budget> m_receiveBudget; // of the connections to all searchers
-    double m_retrySlack = 0; // this process's share
+    sustained_share m_retrySlackShare; // this process's part of the slack
+    double m_retrySlack = 0; // of that part, what may be used now
     std::set<data_centre_id> m_evacuated;
     std::map<searcher_id, std::unique_ptr<searcher_connection_pool>> m_pools;
     std::vector<searcher_connection_pool*> m_maintenanceOrder; // all of m_pools
--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -56,14 +56,14 @@
     }
 
     // Starts the gateway with short timeouts; does not wait until it is ready.
-    void startGateway(milliseconds memberSettleTime = milliseconds(20))
+    void startGateway(milliseconds memberSettleTime = milliseconds(20), milliseconds window = retryWindow)
     {
         settings.node = node_id("node-1");
         settings.zone = data_centre_id("z1");
         settings.clientAddress = freeAddress();
         settings.readyAddress = freeAddress();
         settings.peerAddress = freeAddress();
-        settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, 5 };
+        settings.bounds = { 0.2, 50, window, 1.5, 5 };
         settings.membershipTiming.silenceTimeout = silenceTimeout;
         settings.memberSettleTime = memberSettleTime;
         settings.stopGrace = milliseconds(1500);
@@ -71,12 +71,16 @@
         gatewayProcess->start();
     }
 
-    // Starts the gateway and waits until it is ready and its connections to the searchers are open.
+    // Starts the gateway and waits until it is ready, its connections to the searchers are open and it may use its part of
+    // the retry slack, which takes a whole window after a start: the window is short until then.
     void startAndAwaitReady()
     {
-        startGateway();
+        constexpr milliseconds shortWindow { 100 };
+        startGateway(milliseconds(20), shortWindow);
         REQUIRE(runUntil([&] { return isReady(); }));
-        runFor(milliseconds(120));
+        runFor(milliseconds(240));
+        settings.bounds.retryWindow = retryWindow;
+        gatewayProcess->changeSettings(settings);
     }
 
     // Runs the event loop for this long.
@@ -146,6 +150,8 @@
         return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
     }
 
+    static constexpr milliseconds retryWindow { 10'000 };
+
     boost::asio::io_context io { 1 };
     platform_store store;
     std::map<std::string, std::unique_ptr<platform_searcher>> searchers;
