--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -51,8 +51,10 @@
         addOrUpdate(found->second);
         services.insert(found->second.entry.service);
     }
-    for (const auto& service : services)
+    for (const auto& service : services) {
         updateLimits(service, table, share);
+        retryBudget(service); // fills from now on
+    }
 }
 
 void searcher_fleet::updateConfiguration(const routing_table& table, const member_share& share, const std::set<data_centre_id>& evacuated)
@@ -60,7 +62,7 @@
     m_evacuated = evacuated;
     m_retrySlack = share.slackShare(m_deploymentLimits.retrySlack);
     for (auto& [service, budget] : m_retryBudgets)
-        budget.changeLimits(m_deploymentLimits.retryShare, m_retrySlack, m_deploymentLimits.retryWindow);
+        budget.changeLimits(m_deploymentLimits.retryShare, m_retrySlack, m_deploymentLimits.retryWindow, monotonic_clock::now());
     for (const auto& [id, pool] : m_pools)
         pool->setEvacuated(evacuated.contains(pool->entry().zone));
     for (const auto& [service, pools] : m_poolsByService)
@@ -243,6 +245,8 @@
     }
     for (const auto& removed : m_removedPools)
         removed.pool->maintain(now);
+    for (auto& [service, budget] : m_retryBudgets)
+        budget.keepAlive(now);
     deleteRemovedPools(now);
 }
 
--- a/src/coordination/retry_allowance.cc
+++ b/src/coordination/retry_allowance.cc
@@ -7,77 +7,77 @@
 retry_allowance::retry_allowance(double share, double slack, milliseconds window)
     : m_share(share)
     , m_slack(slack)
-    , m_sliceLength(sliceLength(window))
+    , m_nextSlack(slack)
+    , m_window(std::max(window, milliseconds(slicesPerWindow)))
 {
 }
 
-milliseconds retry_allowance::sliceLength(milliseconds window)
-{
-    return std::max(window / slicesPerWindow, milliseconds(1));
-}
-
-void retry_allowance::changeLimits(double share, double slack, milliseconds window)
+void retry_allowance::changeLimits(double share, double slack, milliseconds window, monotonic_time now)
 {
     m_share = share;
-    m_slack = slack;
-    const auto length = sliceLength(window);
-    if (length == m_sliceLength)
+    const bool isFirst = m_slack == 0; // before the member list was known
+    if (isFirst || slack < m_slack)
+        m_slack = slack;
+    if (slack != m_nextSlack)
+        m_nextSlackFrom = now + window;
+    m_nextSlack = slack;
+    window = std::max(window, milliseconds(slicesPerWindow));
+    if (window == m_window)
         return;
-    std::deque<slice> slices;
-    for (const auto& old : m_slices) {
-        const auto number = old.number * m_sliceLength / length;
-        if (slices.empty() || slices.back().number != number)
-            slices.push_back({ number, 0, 0 });
-        slices.back().requests += old.requests;
-        slices.back().extra += old.extra;
-    }
-    m_slices = std::move(slices);
-    m_sliceLength = length;
+    m_window = window;
+    m_slices.clear(); // numbered by the length of the old window
+    m_newestRequests = 0;
 }
 
-retry_allowance::slice& retry_allowance::currentSlice(monotonic_time now)
+void retry_allowance::advance(monotonic_time now)
 {
-    const auto number = static_cast<std::int64_t>(now.time_since_epoch() / m_sliceLength);
-    // Keeps one slice more than the window, so that the slices cover every window of that length completely.
-    while (!m_slices.empty() && m_slices.front().number < number - slicesPerWindow) {
-        m_requests -= m_slices.front().requests;
-        m_extra -= m_slices.front().extra;
+    now = std::max(now, m_advancedAt);
+    const auto sliceLength = m_window / slicesPerWindow;
+    const auto number = static_cast<std::int64_t>(now.time_since_epoch() / sliceLength);
+    while (!m_slices.empty() && m_slices.front().number <= number - heldSlices) {
+        m_newestRequests -= m_slices.front().requests;
         m_slices.pop_front();
     }
-    if (m_slices.empty() || m_slices.back().number != number)
-        m_slices.push_back({ number, 0, 0 });
-    return m_slices.back();
+    if (m_nextSlack > m_slack && now >= m_nextSlackFrom)
+        m_slack = m_nextSlack;
+    const auto elapsed = now - m_advancedAt;
+    m_advancedAt = now;
+    if (elapsed > maxPauseSlices * sliceLength) {
+        m_tokens = 0;
+        m_isFirstWindow = true;
+        m_firstWindowEnd = now + m_window;
+        return;
+    }
+    if (m_isFirstWindow && now >= m_firstWindowEnd) {
+        m_isFirstWindow = false;
+        m_tokens += firstWindowFraction * m_slack;
+    }
+    m_tokens += (1 - heldSlackFraction) * m_slack * (std::chrono::duration<double>(elapsed) / std::chrono::duration<double>(m_window));
+    m_tokens = std::min(m_tokens, heldSlackFraction * m_slack + m_share * usableShareFraction * m_newestRequests);
 }
 
 void retry_allowance::recordRequest(monotonic_time now)
 {
-    ++currentSlice(now).requests;
-    ++m_requests;
+    advance(now);
+    const auto number = static_cast<std::int64_t>(m_advancedAt.time_since_epoch() / (m_window / slicesPerWindow));
+    if (m_slices.empty() || m_slices.back().number != number)
+        m_slices.push_back({ number, 0 });
+    ++m_slices.back().requests;
+    ++m_newestRequests;
+    m_tokens += m_share * usableShareFraction;
 }
 
 double retry_allowance::remaining(monotonic_time now)
 {
-    const auto& newest = currentSlice(now);
-    // Requests of the oldest slice may be older than the window that ends now, so they are not counted.
-    const auto oldestRequests = m_slices.front().number <= newest.number - slicesPerWindow ? m_slices.front().requests : 0;
-    return m_share * usableShareFraction * static_cast<double>(m_requests - oldestRequests) + m_slack - static_cast<double>(m_extra);
-}
-
-void retry_allowance::refund()
-{
-    const auto newest = std::find_if(m_slices.rbegin(), m_slices.rend(), [](const slice& candidate) { return candidate.extra > 0; });
-    if (newest == m_slices.rend())
-        return; // already outside the window
-    --newest->extra;
-    --m_extra;
+    advance(now);
+    return m_tokens;
 }
 
 bool retry_allowance::tryWithdraw(monotonic_time now)
 {
     if (remaining(now) < 1)
         return false;
-    ++currentSlice(now).extra;
-    ++m_extra;
+    --m_tokens;
     return true;
 }
 
