--- a/include/limpetpier/coordination/retry_allowance.h
+++ b/include/limpetpier/coordination/retry_allowance.h
@@ -38,8 +38,8 @@
     // Extra sends that are left now.
     [[nodiscard]] double remaining(monotonic_time now);
 
-    // Adds the tokens that are due. To be called periodically from the start of the process: without a call for a tenth
-    // of the window, the process was suspended and starts again like a new one, because others may have used its part.
+    // Adds the tokens that are due. To be called periodically from the start of the process: without a call for a whole
+    // window, the process was suspended and starts again like a new one, because others may have used its part.
     void keepAlive(monotonic_time now) { advance(now); }
 
     // Fraction of the share that is used; the rest covers the newest requests of ended processes and sends that arrive
@@ -59,7 +59,6 @@
     };
     static constexpr int slicesPerWindow = 20;
     static constexpr int heldSlices = 3; // slices whose requests still count as the newest
-    static constexpr int maxPauseSlices = 2;
 
     void advance(monotonic_time now);
 
--- a/src/coordination/retry_allowance.cc
+++ b/src/coordination/retry_allowance.cc
@@ -42,7 +42,7 @@
         m_slack = m_nextSlack;
     const auto elapsed = now - m_advancedAt;
     m_advancedAt = now;
-    if (elapsed > maxPauseSlices * sliceLength) {
+    if (elapsed > m_window) {
         m_tokens = 0;
         m_isFirstWindow = true;
         m_firstWindowEnd = now + m_window;
@@ -53,7 +53,8 @@
         m_tokens += firstWindowFraction * m_slack;
     }
     m_tokens += (1 - heldSlackFraction) * m_slack * (std::chrono::duration<double>(elapsed) / std::chrono::duration<double>(m_window));
-    m_tokens = std::min(m_tokens, heldSlackFraction * m_slack + m_share * usableShareFraction * m_newestRequests);
+    const auto heldFraction = heldSlackFraction - (m_isFirstWindow ? firstWindowFraction : 0);
+    m_tokens = std::min(m_tokens, heldFraction * m_slack + m_share * usableShareFraction * m_newestRequests);
 }
 
 void retry_allowance::recordRequest(monotonic_time now)
