--- a/include/limpetpier/coordination/member_share.h
+++ b/include/limpetpier/coordination/member_share.h
@@ -29,6 +29,10 @@
     // Zero-based rank of this process among the members, in an order that depends on the subject.
     [[nodiscard]] std::size_t rank(const std::string& subject) const;
 
+    // Indexes of the members with the lowest ranks for a subject, in the list that was passed to the constructor; self
+    // follows the list if it was added to it.
+    [[nodiscard]] std::vector<std::size_t> firstRanked(const std::string& subject, std::size_t count) const;
+
     // Connections that this process may hold to one searcher: its share of the limit, but at least one for a short
     // time.
     [[nodiscard]] std::uint32_t connectionLimit(std::uint32_t limit) const { return std::max<std::uint32_t>(1, limit / static_cast<std::uint32_t>(m_members.size())); }
--- a/src/coordination/member_share.cc
+++ b/src/coordination/member_share.cc
@@ -46,6 +46,21 @@
     return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const hashed_member& member) { return mix(seed ^ member.name) < ownHash; }));
 }
 
+std::vector<std::size_t> member_share::firstRanked(const std::string& subject, std::size_t count) const
+{
+    const auto seed = hashOf(subject);
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    order.reserve(m_members.size());
+    for (std::size_t index = 0; index < m_members.size(); ++index)
+        order.emplace_back(mix(seed ^ m_members[index].name), index);
+    count = std::min(count, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+    std::vector<std::size_t> result;
+    for (std::size_t place = 0; place < count; ++place)
+        result.push_back(order[place].second);
+    return result;
+}
+
 std::vector<bool> member_share::selectReadySearchers(const service_id& service, const std::vector<data_centre_id>& searcherZones, std::uint32_t limit) const
 {
     const std::size_t searchers = searcherZones.size();
