--- a/include/limpetpier/coordination/permit_pool.h
+++ b/include/limpetpier/coordination/permit_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <cstddef>
 #include <deque>
 
 #include "limpetpier/state/clock.h"
@@ -23,9 +24,6 @@
     // Takes one permit; false if there is none.
     [[nodiscard]] bool tryTake(monotonic_time now);
 
-    // Returns a permit whose request was refused before it was sent.
-    void giveBack(monotonic_time askedAt) { add(1, askedAt); }
-
     // Permits held now.
     [[nodiscard]] std::uint32_t held(monotonic_time now);
 
@@ -47,4 +45,9 @@
     std::deque<monotonic_time> m_taken; // within the last validity
 };
 
+// Returns the delay after which the caller of a request beyond the limit should repeat it: when room is expected, spread
+// over the time in which the limit admits as many as were refused lately. spread: a number evenly distributed over the
+// requests, such as a hash of the id.
+[[nodiscard]] milliseconds limitReturnDelay(milliseconds nextPermit, std::size_t refusedLately, double perSecond, std::uint64_t spread);
+
 } // namespace limpetpier
--- a/include/limpetpier/protocol/codec.h
+++ b/include/limpetpier/protocol/codec.h
@@ -39,6 +39,10 @@
     // Verifies and decodes a datagram.
     [[nodiscard]] probe_message openDatagram(std::string_view datagram) const;
 
+    // The same for messages about permits.
+    [[nodiscard]] std::string sealDatagram(const permit_message& message) const;
+    [[nodiscard]] permit_message openPermitDatagram(std::string_view datagram) const;
+
     // Decodes the length field: the size of the tag and the payload, in bytes. Throws frame_error if it is smaller than
     // tagBytes or greater than maxFrameBytes.
     static std::size_t parseLength(std::string_view lengthField);
--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -287,6 +287,22 @@
 using node_message = std::variant<ping_message, search_batch, sub_request_reply, slow_notice, cancel_message, digest_request, digest_reply,
     state_request, state_reply, order_request, run_request, call_reply, handover_message, handover_ack, view_request, view_reply>;
 
+// Asks a keeper of a workspace's limit for permits, or answers that over UDP. Gateway to gateway.
+struct permit_message {
+    bool isAnswer = false;
+    std::string workspace;
+    std::uint64_t number = 0; // of the question, also in its answer
+    std::uint32_t count = 0; // permits wanted or granted
+    bool isLimitReached = false; // nothing was granted because of the limit
+    std::int64_t nextPermitMs = 0; // when one more may be expected; 0 if that is unknown
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(isAnswer, workspace, number, count, isLimitReached, nextPermitMs);
+    }
+};
+
 // A heartbeat over UDP, or its acknowledgement.
 struct probe_message {
     bool isAck = false;
--- a/include/limpetpier/state/workspace.h
+++ b/include/limpetpier/state/workspace.h
@@ -62,6 +62,9 @@
 
     [[nodiscard]] std::size_t size() const { return m_workspaces.size(); }
 
+    // All workspaces by name.
+    [[nodiscard]] const std::map<workspace_id, workspace>& all() const { return m_workspaces; }
+
     // Keys that are listed for more than one workspace.
     [[nodiscard]] const std::set<key_digest>& ambiguousKeys() const { return m_ambiguousKeys; }
 
--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -54,6 +54,7 @@
     pushback_ignored = 512,
     searcher_removal_delayed = 513,
     reply_given_up = 514,
+    request_beyond_limit = 515,
     members_changed = 208,
     table_adopted = 310,
     table_unreadable = 311,
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -85,6 +85,14 @@
     return m_storeFollower.hasRead() ? std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - m_storeFollower.lastAnswer()) : milliseconds(-1);
 }
 
+std::map<node_id, std::string> deployment_view::memberAddresses() const
+{
+    std::map<node_id, std::string> result;
+    for (const auto& [name, member] : m_membership.members())
+        result.emplace(name, member.address);
+    return result;
+}
+
 void deployment_view::replaceContents(const std::vector<store_item>& items, monotonic_time keepRemovedUntil)
 {
     m_evacuatedZones.clear();
@@ -98,7 +106,10 @@
     }
     m_changes.searchers.merge(m_directory.replaceAll(entries, monotonic_clock::now(), keepRemovedUntil));
     m_changes.rules = true;
-    const bool wasListedBefore = !m_settled && m_membership.members().contains(m_settings.node);
+    const bool isListed = m_membership.members().contains(m_settings.node);
+    if (!m_wasListedBefore)
+        m_wasListedBefore = isListed;
+    const bool wasListedBefore = !m_settled && isListed;
     updateMembers();
     m_settled = m_settled || wasListedBefore; // after a restart the list from before it is still complete
 }
@@ -263,6 +274,8 @@
     for (std::size_t index = 0; index < view.members.size(); ++index)
         m_membership.put(view.members[index], view.memberEntries[index]);
     m_settled = true;
+    if (!m_wasListedBefore)
+        m_wasListedBefore = m_membership.members().contains(m_settings.node);
     updateMembers();
 }
 
--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -46,6 +46,12 @@
     // Returns whether the member list is complete enough to divide the shared limits by it.
     [[nodiscard]] bool isSettled() const { return m_settled; }
 
+    // Returns whether this process was on the first member list that it read: a process of the same name ran before it.
+    [[nodiscard]] bool wasListedBefore() const { return m_wasListedBefore.value_or(false); }
+
+    // Addresses (IP:port) of the live members for messages between gateways.
+    [[nodiscard]] std::map<node_id, std::string> memberAddresses() const;
+
     // Returns whether the store answers this process.
     [[nodiscard]] bool isReachable() const { return m_storeFollower.isReachable(); }
 
@@ -101,6 +107,7 @@
     std::size_t m_peerRequestCount = 0;
     changes m_changes;
     bool m_settled = false;
+    std::optional<bool> m_wasListedBefore; // set when the first list has been read
     monotonic_time m_startedAt = monotonic_clock::now();
     monotonic_time m_membersChangedAt = monotonic_clock::now();
     bool m_membersChanged = false;
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -18,6 +18,7 @@
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusLimitReached = 429;
 
 // Between two runs of the periodic maintenance.
 constexpr milliseconds maintenanceInterval { 100 };
@@ -46,6 +47,7 @@
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
     , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
+    , m_limiter(io.get_executor(), m_settings.node, m_settings.peerAddress, m_settings.nodeSecret, m_settings.membershipTiming.leaseTtl / 2)
     , m_clientListener(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readinessListener(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
     , m_maintenanceTimer(io)
@@ -67,6 +69,9 @@
         m_metricsListener = std::make_unique<client_listener>(m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
             [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); });
     }
+    m_limiter.changeBounds(m_settings.bounds.limitWindow, m_settings.bounds.limitSlack);
+    if (m_settings.bounds.limitWindow > milliseconds(0))
+        m_limiter.start();
     m_view.start();
     maintain();
     m_signals.async_wait([this](const boost::system::error_code& error, int) {
@@ -80,6 +85,9 @@
     m_settings.bounds = settings.bounds;
     m_settings.stopGrace = settings.stopGrace;
     m_fleet.setDeploymentLimits(settings.bounds);
+    m_limiter.changeBounds(settings.bounds.limitWindow, settings.bounds.limitSlack);
+    if (settings.bounds.limitWindow > milliseconds(0))
+        m_limiter.start();
     m_view.notifyBoundsChanged();
 }
 
@@ -148,7 +156,43 @@
 
 void gateway::admit(accepted_request run)
 {
-    startRequest(std::move(run));
+    startWithinLimit(std::move(run));
+}
+
+void gateway::startWithinLimit(accepted_request run)
+{
+    if (!m_limiter.isLimited(run.workspace)) {
+        startRequest(std::move(run));
+        return;
+    }
+    const auto workspace = run.workspace;
+    const auto spread = std::hash<std::string> {}(run.clientRequest->id);
+    const auto shared = std::make_shared<accepted_request>(std::move(run));
+    m_limiter.acquire(workspace, spread, [this, shared](const permit_decision& decision) {
+        m_metrics.recordPermit(decision);
+        if (decision.granted)
+            startRequest(std::move(*shared));
+        else
+            refuseBeyondLimit(*shared, decision);
+    });
+}
+
+void gateway::refuseBeyondLimit(const accepted_request& run, const permit_decision& decision)
+{
+    if (isLogged(event::request_beyond_limit))
+        logEvent(event::request_beyond_limit, event_fields().add("request", run.clientRequest->id).add("route", run.matchedRoute->name).add("workspace", run.workspace.value()).add("why", decision.isLimitReached ? "limit_reached" : "no_keeper").add("keepers", decision.keepersAsked).add("waited_ms", decision.waited).add("return_ms", decision.returnDelay).add("view_age_ms", m_view.age()));
+    request_report refusal;
+    refusal.requestId = run.clientRequest->id;
+    refusal.route = run.matchedRoute->name;
+    refusal.tableVersion = run.routingTable->version();
+    refusal.outcome = decision.isLimitReached ? "limit_reached" : "limit_unknown";
+    refusal.status = decision.isLimitReached ? statusLimitReached : statusUnavailable;
+    refusal.elapsed = std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - run.arrivedAt);
+    report(refusal);
+    if (decision.isLimitReached)
+        run.clientCall.answer(m_protocol.encodeFailure(statusLimitReached, "the workspace has reached its limit, so this request was not executed; retry it", decision.returnDelay));
+    else
+        run.clientCall.answer(m_protocol.encodeFailure(statusUnavailable, "the limit of the workspace cannot be checked at present, so this request was not executed; retry it", decision.returnDelay));
 }
 
 void gateway::startRequest(accepted_request run)
@@ -199,6 +243,8 @@
     values.tableVersion = m_view.table() ? m_view.table()->version().value() : 0;
     values.viewAgeSeconds = std::chrono::duration<double>(m_view.age()).count();
     values.ready = isReady();
+    values.limitsKept = m_limiter.keptCount();
+    values.waitingForPermits = m_limiter.waiting();
     values.shares = m_fleet.limitsByService();
     values.extraSendsLeft = m_fleet.remainingExtraSends(monotonic_clock::now());
     reply.contentType = "text/plain; version=0.0.4";
@@ -242,14 +288,17 @@
         m_clientListener.changeLimits(table->limits());
     if (!changes.searchers.empty())
         m_fleet.updateEntries(m_view.directory(), changes.searchers, *table, m_view.share());
-    if (changes.rules)
+    if (changes.rules) {
         m_fleet.updateConfiguration(*table, m_view.share(), m_view.evacuatedZones());
+        m_limiter.update(*table, m_view.memberAddresses(), m_view.wasListedBefore());
+    }
 }
 
 void gateway::maintain()
 {
     const auto now = monotonic_clock::now();
     m_view.maintain(now);
+    m_limiter.maintain(m_view.lastStoreContact(), now);
     refreshFleet();
     m_fleet.maintain(now);
     flushLog();
@@ -265,6 +314,7 @@
     logEvent(event::stopping, event_fields().add("running", m_context.handlers.size()));
     m_stop.emplace(monotonic_clock::now(), m_settings.stopGrace);
     m_clientListener.disableKeepAlive();
+    m_limiter.leave();
     m_view.leave();
     continueStop();
 }
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "limpetpier/coordination/stop_schedule.h"
 #include "limpetpier/coordination/traffic_split.h"
 #include "request_handling.h"
+#include "workspace_limiter.h"
 
 namespace limpetpier {
 
@@ -34,6 +35,10 @@
 
     // Decides whether a request with a route may start now. May answer it with a refusal, or start it later.
     void admit(accepted_request run);
+
+    // Starts a request if the limit of its workspace lets it, which other gateways may have to be asked.
+    void startWithinLimit(accepted_request run);
+    void refuseBeyondLimit(const accepted_request& run, const permit_decision& decision);
     void startRequest(accepted_request run);
 
     void handleReady(client_call call);
@@ -58,6 +63,7 @@
     std::map<std::string, route_statistics> m_routeRecords; // by route name
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
     deployment_view m_view;
+    workspace_limiter m_limiter;
     client_listener m_clientListener;
     client_listener m_readinessListener;
     std::unique_ptr<client_listener> m_metricsListener;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -31,6 +31,12 @@
     m_registry.add("limpet_parts_missing_total", { { "route", route } }, static_cast<double>(ended.missingParts));
 }
 
+void gateway_metrics::recordPermit(const permit_decision& decision)
+{
+    const auto* outcome = decision.granted ? "granted" : decision.isLimitReached ? "limit_reached" : "no_keeper";
+    m_registry.observe("limpet_permit_seconds", { { "outcome", outcome } }, std::chrono::duration<double>(decision.waited).count());
+}
+
 void gateway_metrics::recordStoreCall(const char* call, store_result result, microseconds elapsed)
 {
     m_registry.observe("limpet_store_call_seconds", { { "call", call }, { "result", toText(result) } }, std::chrono::duration<double>(elapsed).count());
@@ -52,6 +58,8 @@
     m_registry.set("limpet_table_version", static_cast<double>(values.tableVersion));
     m_registry.set("limpet_view_age_seconds", values.viewAgeSeconds);
     m_registry.set("limpet_ready", values.ready ? 1 : 0);
+    m_registry.set("limpet_workspace_limits_kept", static_cast<double>(values.limitsKept));
+    m_registry.set("limpet_requests_waiting_for_permits", static_cast<double>(values.waitingForPermits));
     m_registry.set("limpet_log_lines_left_out", static_cast<double>(logLinesLeftOut()));
     double minRemaining = values.extraSendsLeft.empty() ? 0 : values.extraSendsLeft.begin()->second;
     for (const auto& [service, remaining] : values.extraSendsLeft)
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -6,6 +6,7 @@
 #include "limpetpier/transport/metadata_store.h"
 #include "limpetpier/transport/metrics.h"
 #include "request_handling.h"
+#include "workspace_limiter.h"
 
 namespace limpetpier {
 
@@ -16,6 +17,9 @@
     // Counts a finished request with its sends and parts.
     void record(const request_report& ended);
 
+    // Counts the decision on a request of a limited workspace, with the time that it took.
+    void recordPermit(const permit_decision& decision);
+
     // Counts a change between reachable and unreachable of the store.
     void recordStoreReachability(bool reachable);
 
@@ -33,6 +37,8 @@
         std::uint64_t tableVersion = 0;
         double viewAgeSeconds = 0; // since the store's last answer; negative before the first
         bool ready = false;
+        std::size_t limitsKept = 0; // workspaces whose limits this process keeps
+        std::size_t waitingForPermits = 0; // requests
         std::map<service_id, double> extraSendsLeft; // extra sends left in the current window, by service
         std::map<service_id, searcher_limits> shares; // this process's part of the limits of one searcher, by service
     };
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -63,7 +63,7 @@
     settings.peerAddress = node.ip + ":" + std::to_string(node.firstPeerPort);
     for (const auto& host : node.seedHosts)
         settings.seeds.push_back(host + ":" + std::to_string(node.firstPeerPort));
-    settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack };
+    settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack, node.limitWindow, node.limitOvershoot, node.limitSlack };
     settings.changeBatchDelay = std::min(node.drainBound, node.configApplyBound) * changeBatchPercent / 100;
     settings.membershipTiming.watchCheckInterval = std::min(node.drainBound, node.configApplyBound) * watchCheckPercent / 100;
     settings.minExpiryOutage = node.searcherHeartbeat * (heartbeatsUntilExpiry - heartbeatsMissedAround);
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -18,6 +18,9 @@
     milliseconds retryWindow { 10'000 }; // sliding window of the retry budget
     double coldFactor = 1; // multiplies the service's limit for cold searchers
     double coldSlack = 0; // requests per second to a cold searcher in addition to that
+    milliseconds limitWindow { 0 }; // over which the requests of a workspace are counted; 0 disables the limits of workspaces
+    double limitOvershoot = 0; // tolerated beyond a workspace's limit, as a share of it
+    double limitSlack = 0; // requests tolerated per window in addition to that
 };
 
 // Connection pools of all searchers that this process may send to, grouped by service.
--- a/src/coordination/permit_pool.cc
+++ b/src/coordination/permit_pool.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "limpetpier/coordination/return_delay.h"
+
 namespace limpetpier {
 
 void permit_pool::dropExpired(monotonic_time now)
@@ -44,4 +46,13 @@
     return result;
 }
 
+milliseconds limitReturnDelay(milliseconds nextPermit, std::size_t refusedLately, double perSecond, std::uint64_t spread)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    constexpr double minPerSecond = 0.001;
+    const auto period = static_cast<double>(refusedLately + 1) / std::max(perSecond, minPerSecond) * millisecondsPerSecond;
+    const auto steps = static_cast<std::uint64_t>(std::clamp(period, 1.0, static_cast<double>(maxReturnDelay.count())));
+    return std::clamp(nextPermit + milliseconds(spread % steps), minReturnDelay, maxReturnDelay);
+}
+
 } // namespace limpetpier
--- a/src/protocol/codec.cc
+++ b/src/protocol/codec.cc
@@ -75,6 +75,17 @@
     return decode<probe_message>(authenticatedPayload(datagram));
 }
 
+std::string node_codec::sealDatagram(const permit_message& message) const
+{
+    const auto payload = encode(message);
+    return computeTag(payload) + payload;
+}
+
+permit_message node_codec::openPermitDatagram(std::string_view datagram) const
+{
+    return decode<permit_message>(authenticatedPayload(datagram));
+}
+
 std::size_t node_codec::parseLength(std::string_view lengthField)
 {
     std::size_t length = 0;
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -62,6 +62,7 @@
     event_entry { event::pushback_ignored, event_level::warning, "pushback_ignored", log_importance::routine },
     event_entry { event::searcher_removal_delayed, event_level::info, "searcher_removal_delayed" },
     event_entry { event::reply_given_up, event_level::warning, "reply_given_up", log_importance::routine },
+    event_entry { event::request_beyond_limit, event_level::info, "request_beyond_limit", log_importance::routine },
     event_entry { event::view_from_peer, event_level::info, "view_from_peer" },
     event_entry { event::request_begun, event_level::info, "request_begun", log_importance::routine },
     event_entry { event::request_ended, event_level::info, "request_ended", log_importance::routine },
