--- a/test/node_settings_test.cc
+++ b/test/node_settings_test.cc
@@ -86,6 +86,17 @@
     CHECK(errorFor(text).find("platform.address: found nothing") != std::string::npos);
 }
 
+TEST_CASE("Bounds for the limits of workspaces are read where the platform sets them")
+{
+    CHECK(readText(sample).limitWindow == milliseconds(0));
+    auto text = std::string(sample);
+    text.insert(text.find("coldSlack"), "quotaWindowS = 5\nquotaOvershoot = 0.1\nquotaSlack = 20\n");
+    const auto settings = readText(text);
+    CHECK(settings.limitWindow == milliseconds(5000));
+    CHECK(settings.limitOvershoot == 0.1);
+    CHECK(settings.limitSlack == 20);
+}
+
 TEST_CASE("Reading a missing settings file throws settings_error")
 {
     CHECK_THROWS_AS(platform::readNodeSettings("nowhere.toml"), settings_error);
--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -64,7 +64,7 @@
         settings.readyAddress = freeAddress();
         settings.peerAddress = freeAddress();
         // The slack is large, so that some extra sends have been earned a moment after the start.
-        settings.bounds = { 0.2, 5000, milliseconds(10'000), 1.5, 5 };
+        settings.bounds = { 0.2, 5000, milliseconds(10'000), 1.5, 5, limitWindow, 0, 0 };
         settings.membershipTiming.silenceTimeout = silenceTimeout;
         settings.memberSettleTime = memberSettleTime;
         settings.stopGrace = milliseconds(1500);
@@ -147,6 +147,7 @@
         return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
     }
 
+    milliseconds limitWindow { 0 }; // workspaces have no limits unless this is set before the start
     boost::asio::io_context io { 1 };
     platform_store store;
     std::map<std::string, std::unique_ptr<platform_searcher>> searchers;
