--- a/include/limpetpier/coordination/permit_pool.h
+++ b/include/limpetpier/coordination/permit_pool.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <cstdint>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 
 #include "limpetpier/state/clock.h"
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -177,7 +177,7 @@
     });
 }
 
-void gateway::refuseBeyondLimit(const accepted_request& run, const permit_decision& decision)
+void gateway::refuseBeyondLimit(accepted_request& run, const permit_decision& decision)
 {
     if (isLogged(event::request_beyond_limit))
         logEvent(event::request_beyond_limit, event_fields().add("request", run.clientRequest->id).add("route", run.matchedRoute->name).add("workspace", run.workspace.value()).add("why", decision.isLimitReached ? "limit_reached" : "no_keeper").add("keepers", decision.keepersAsked).add("waited_ms", decision.waited).add("return_ms", decision.returnDelay).add("view_age_ms", m_view.age()));
@@ -327,7 +327,7 @@
     const bool isRemoved = m_unreadyReplies >= unreadyChecksUntilRemoval || now >= m_stop->answersDue() - 2 * lateArrivalPeriod;
     if (now >= m_stop->answersDue())
         answerRunningRequests();
-    const bool isDone = m_context.handlers.empty() && m_clientListener.unfinishedReplies() == 0;
+    const bool isDone = m_context.handlers.empty() && m_limiter.waiting() == 0 && m_clientListener.unfinishedReplies() == 0;
     if (m_draining && now >= m_arrivalsEndAt && (isDone || now >= m_stop->exitDue())) {
         logEvent(event::stopped, event_fields().add("running", m_context.handlers.size()).add("unfinished_replies", m_clientListener.unfinishedReplies()).add("ms", std::chrono::duration_cast<milliseconds>(now - m_stop->startedAt())));
         flushLog();
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -38,7 +38,7 @@
 
     // Starts a request if the limit of its workspace lets it, which other gateways may have to be asked.
     void startWithinLimit(accepted_request run);
-    void refuseBeyondLimit(const accepted_request& run, const permit_decision& decision);
+    void refuseBeyondLimit(accepted_request& run, const permit_decision& decision);
     void startRequest(accepted_request run);
 
     void handleReady(client_call call);
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -33,7 +33,8 @@
 
 void gateway_metrics::recordPermit(const permit_decision& decision)
 {
-    const auto* outcome = decision.granted ? "granted" : decision.isLimitReached ? "limit_reached" : "no_keeper";
+    const auto* outcome = decision.granted ? "granted" : decision.isLimitReached ? "limit_reached"
+                                                                                 : "no_keeper";
     m_registry.observe("limpet_permit_seconds", { { "outcome", outcome } }, std::chrono::duration<double>(decision.waited).count());
 }
 
