Merge the limits of workspaces over all gateways

Cause: the configuration's limits of workspaces were read by nobody (QUOTA). Change: two keepers a workspace give permits; see docs/design/shared-bounds.md.

--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -63,7 +63,7 @@
         settings.clientAddress = freeAddress();
         settings.readyAddress = freeAddress();
         settings.peerAddress = freeAddress();
-        settings.bounds = { 0.2, 50, window, 1.5, 5 };
+        settings.bounds = { 0.2, 50, window, 1.5, 5, limitWindow, 0, 0 };
         settings.membershipTiming.silenceTimeout = silenceTimeout;
         settings.memberSettleTime = memberSettleTime;
         settings.stopGrace = milliseconds(1500);
@@ -151,6 +151,7 @@
     }
 
     static constexpr milliseconds retryWindow { 10'000 };
+    milliseconds limitWindow { 0 }; // workspaces have no limits unless this is set before the start
 
     boost::asio::io_context io { 1 };
     platform_store store;
