One strict reading decides where a request ends, for both listeners

Replies with an unknown coding, or with a status such as 000, 600 or 101, were passed on or skipped.

http_request_reader (protocol, no network) reads requests by RFC 9112 and refuses with 400, 501, 413 or 431 what can be understood in two ways; client_listener and http_server use it. Trailer fields are dropped. isValidReplyHead rejects what is no answer in http_channel and http_connection; http_connection skips interim replies instead of delivering them.

--- a/include/limpetpier/transport/http_channel.h
+++ b/include/limpetpier/transport/http_channel.h
@@ -110,6 +110,7 @@
     void handleRead(const boost::system::error_code& error, std::size_t count);
     void handleData(const char* data, std::size_t count);
     bool parse();
+    bool checkHead();
     void startParser();
     void skipReply();
     void handleReply();
@@ -135,6 +136,7 @@
     std::unique_ptr<receive_budget::account> m_budgetAccount; // null if the channel has no budget
     unsigned m_skippedReplies = 0; // in this exchange
     std::optional<response_parser> m_parser;
+    bool m_headChecked = false; // of the reply that is being parsed
     reply_matcher m_matches;
     reply_handler m_onReply;
     closed_handler m_onClosed;
--- a/src/transport/client_listener.cc
+++ b/src/transport/client_listener.cc
@@ -3,16 +3,15 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
 #include <optional>
 
+#include "limpetpier/protocol/http_request_reader.h"
 #include "limpetpier/transport/http_format.h"
 
 namespace limpetpier {
 
 namespace beast = boost::beast;
-namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
 namespace {
@@ -38,15 +37,6 @@
     return reply;
 }
 
-http_reply replyToParseError(const beast::error_code& error)
-{
-    if (error == http::error::header_limit)
-        return errorReply(431, "request header exceeds the size limit; send fewer or shorter fields");
-    if (error == http::error::body_limit)
-        return errorReply(413, "request body exceeds the size limit; send a shorter body");
-    return errorReply(400, "malformed HTTP request: " + error.message());
-}
-
 } // namespace
 
 class client_listener::implementation : public std::enable_shared_from_this<implementation> {
@@ -98,7 +88,7 @@
     {
         beast::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
-        startParser();
+        startReader();
         read();
     }
 
@@ -151,12 +141,9 @@
         closed,
     };
 
-    void startParser()
+    void startReader()
     {
-        m_parser.emplace();
-        m_parser->eager(true);
-        m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits.headerBytes));
-        m_parser->body_limit(m_listener->limits.bodyBytes);
+        m_reader.emplace(http_request_reader::limits { m_listener->limits.headerBytes, m_listener->limits.bodyBytes });
         m_continueSent = false;
     }
 
@@ -193,27 +180,19 @@
                 m_requestStarted = true;
                 m_phaseStart = monotonic_clock::now();
             }
-            beast::error_code error;
-            const auto consumed = m_parser->put(asio::buffer(m_unparsed), error);
-            m_unparsed.erase(0, consumed);
-            if (error && error != http::error::need_more) {
-                rejectRequest(replyToParseError(error));
-                return;
-            }
-            if (m_parser->is_done()) {
-                dispatchRequest();
-                return;
-            }
-            if (m_parser->is_header_done())
+            m_unparsed.erase(0, m_reader->put(m_unparsed));
+            if (const auto& rejection = m_reader->rejected())
+                rejectRequest(errorReply(rejection->status, rejection->reason));
+            else if (m_reader->isComplete())
+                return dispatchRequest();
+            else
                 sendContinue();
-            if (consumed == 0 || error == http::error::need_more)
-                return;
         }
     }
 
     void sendContinue()
     {
-        if (m_continueSent || m_parser->get()[http::field::expect].empty())
+        if (m_continueSent || !m_reader->expectsContinue())
             return;
         m_continueSent = true;
         static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -222,17 +201,11 @@
 
     void dispatchRequest()
     {
-        m_keepAlive = m_parser->keep_alive();
-        auto message = m_parser->release();
-        m_isHead = message.method() == http::verb::head;
+        m_keepAlive = m_reader->keepAlive();
+        auto request = m_reader->takeRequest();
+        m_isHead = request.method == "HEAD";
         m_state = state::waiting;
         m_requestStarted = false;
-        http_request request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        for (const auto& field : message)
-            request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        request.body = std::move(message.body());
         m_listener->handleRequest(std::move(request), client_call(shared_from_this()));
     }
 
@@ -258,7 +231,7 @@
         m_requestStarted = false;
         m_phaseStart = monotonic_clock::now();
         m_idleLimit = m_listener->limits.idleTimeout;
-        startParser();
+        startReader();
         parse();
         read();
     }
@@ -274,7 +247,7 @@
     bool m_continueSent = false;
     bool m_readPending = false;
     monotonic_time m_phaseStart = monotonic_clock::now(); // of the idle time, request or reply that sweep() limits
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http_request_reader> m_reader;
     std::string m_unparsed;
     std::string m_output;
     std::function<void()> m_onDisconnect;
--- a/src/transport/http.cc
+++ b/src/transport/http.cc
@@ -5,8 +5,11 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
+#include <optional>
 #include <set>
 
+#include "limpetpier/protocol/http_request_reader.h"
+
 namespace limpetpier {
 
 namespace beast = boost::beast;
@@ -21,7 +24,11 @@
 constexpr std::size_t maxReceivedBytes = maxReplyBytes + (1U << 20);
 constexpr std::size_t maxUnparsedBytes = 64U << 10;
 
-// Size of one read of a reply.
+// Maximum number of interim replies before a final one.
+constexpr unsigned maxInterimReplies = 16;
+constexpr unsigned firstFinalStatus = 200;
+
+// Size of one read.
 constexpr std::size_t readBytes = 8U << 10;
 
 template <typename Message>
@@ -42,17 +49,6 @@
     return reply;
 }
 
-http_reply replyToReadError(const beast::error_code& error, const http_limits& limits)
-{
-    if (error == http::error::header_limit)
-        return errorReply(431, "request header exceeds the limit of " + std::to_string(limits.headerBytes) + " bytes; send fewer or shorter fields");
-    if (error == http::error::body_limit)
-        return errorReply(413, "request body exceeds the limit of " + std::to_string(limits.bodyBytes) + " bytes; send a shorter body");
-    if (error == asio::error::operation_aborted)
-        return errorReply(408, "request still incomplete after " + std::to_string(limits.requestTimeout.count()) + " ms; send the complete request in time");
-    return errorReply(400, "malformed HTTP request: " + error.message());
-}
-
 } // namespace
 
 class http_server::implementation : public std::enable_shared_from_this<implementation> {
@@ -132,26 +128,24 @@
 
     awaitable<void> serveRequests(beast::tcp_stream& stream)
     {
-        // Bounds the memory that one connection can occupy to one request.
-        beast::flat_buffer buffer(m_limits.headerBytes + m_limits.bodyBytes + 1024);
+        beast::flat_buffer buffer(readBytes);
         bool open = true;
         while (open) {
             if (buffer.size() == 0 && !co_await waitForFirstByte(stream, buffer))
                 co_return;
-            http::request_parser<http::string_body> parser;
-            parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-            parser.body_limit(m_limits.bodyBytes);
-            beast::error_code error;
-            co_await readRequest(stream, buffer, parser, error);
-            if (error == http::error::end_of_stream)
+            http_request_reader reader(http_request_reader::limits { m_limits.headerBytes, m_limits.bodyBytes });
+            bool timedOut = false;
+            if (!co_await readRequest(stream, buffer, reader, timedOut))
                 co_return;
             http_reply reply;
             bool keepAlive = false;
-            if (error) {
-                reply = replyToReadError(error, m_limits);
+            if (timedOut) {
+                reply = errorReply(408, "request still incomplete after " + std::to_string(m_limits.requestTimeout.count()) + " ms; send the complete request in time");
+            } else if (const auto& rejection = reader.rejected()) {
+                reply = errorReply(rejection->status, rejection->reason);
             } else {
-                keepAlive = parser.get().keep_alive();
-                reply = co_await m_handle(toHttpRequest(parser.release()));
+                keepAlive = reader.keepAlive();
+                reply = co_await m_handle(reader.takeRequest());
             }
             open = keepAlive && !reply.close && !m_draining;
             co_await write(stream, reply, open);
@@ -160,19 +154,38 @@
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
-    // Reads one request. The request timeout cancels only the read instead of closing the stream, so that 408 can be
-    // sent.
-    awaitable<void> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser, beast::error_code& error)
+    // Reads one request. False if the connection ended before. The request timeout cancels only the read instead of closing
+    // the stream, so that 408 can be sent.
+    awaitable<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, http_request_reader& reader, bool& timedOut)
     {
+        static const std::string interimReply = "HTTP/1.1 100 Continue\r\n\r\n";
+        bool continueSent = false;
         stream.expires_never();
         asio::steady_timer timer(stream.get_executor(), m_limits.requestTimeout);
-        timer.async_wait([&stream](const beast::error_code& cancelled) {
-            if (!cancelled)
-                stream.socket().cancel();
+        timer.async_wait([&stream, &timedOut](const beast::error_code& cancelled) {
+            if (cancelled)
+                return;
+            timedOut = true;
+            stream.socket().cancel();
         });
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (timer.cancel() == 0 && !error)
+        beast::error_code error;
+        for (;;) {
+            const auto received = buffer.data();
+            buffer.consume(reader.put({ static_cast<const char*>(received.data()), received.size() }));
+            if (error || timedOut || reader.isComplete() || reader.rejected())
+                break;
+            if (reader.expectsContinue() && !continueSent) {
+                continueSent = true;
+                co_await asio::async_write(stream, asio::buffer(interimReply), asio::redirect_error(asio::use_awaitable, error));
+                if (error)
+                    continue; // ends the loop
+            }
+            const auto count = co_await stream.async_read_some(buffer.prepare(readBytes), asio::redirect_error(asio::use_awaitable, error));
+            buffer.commit(count);
+        }
+        if (timer.cancel() == 0 && !timedOut)
             co_await asio::post(stream.get_executor(), asio::use_awaitable); // lets the queued timer handler run first
+        co_return timedOut || reader.isComplete() || reader.rejected().has_value();
     }
 
     // Waits for the next request within the idle timeout. False if the client closed the connection or the timeout
@@ -186,16 +199,6 @@
         co_return !error;
     }
 
-    static http_request toHttpRequest(http::request<http::string_body> message)
-    {
-        http_request request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        request.fields = copyFields(message);
-        request.body = std::move(message.body());
-        return request;
-    }
-
     static awaitable<void> write(beast::tcp_stream& stream, const http_reply& reply, bool keepAlive)
     {
         http::response<http::string_body> message(static_cast<http::status>(reply.status), 11);
@@ -262,10 +265,11 @@
     {
     }
 
-    // Reads one reply. Fails if it exceeds a limit.
+    // Reads one interim or final reply. Fails if it exceeds a limit or is not a valid reply.
     awaitable<beast::error_code> read(http::response_parser<http::string_body>& parser)
     {
         std::size_t received = 0;
+        bool headChecked = false;
         parser.eager(true);
         parser.body_limit(maxReplyBytes);
         for (;;) {
@@ -274,6 +278,11 @@
                 buffer.consume(parser.put(buffer.data(), error));
             if (error == http::error::need_more)
                 error = {};
+            if (!error && !headChecked && parser.is_header_done()) {
+                headChecked = true;
+                if (!isValidReplyHead(parser.get().result_int(), copyFields(parser.get()), parser.get().version() % 10))
+                    co_return http::error::bad_status;
+            }
             if (error || parser.is_done())
                 co_return error;
             if (buffer.size() + readBytes > maxUnparsedBytes || received > maxReceivedBytes)
@@ -335,14 +344,17 @@
         close();
         co_return result;
     }
-    http::response_parser<http::string_body> parser;
-    error = co_await m_implementation->read(parser);
-    if (error) {
-        close();
-        co_return result;
+    std::optional<http::response_parser<http::string_body>> parser;
+    for (unsigned interimReplies = 0; !parser || parser->get().result_int() < firstFinalStatus; ++interimReplies) {
+        parser.emplace();
+        error = co_await m_implementation->read(*parser);
+        if (error || interimReplies > maxInterimReplies) {
+            close();
+            co_return result;
+        }
     }
     result.stage = exchange_stage::replied;
-    auto reply = parser.release();
+    auto reply = parser->release();
     result.reply.status = reply.result_int();
     result.reply.fields = copyFields(reply);
     result.reply.body = std::move(reply.body());
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <netinet/tcp.h>
 
+#include "limpetpier/protocol/http_request_reader.h"
 #include "limpetpier/transport/events.h"
 
 namespace limpetpier {
@@ -55,6 +56,15 @@
     return seconds;
 }
 
+template <typename Message>
+std::vector<http_field> copyFields(const Message& message)
+{
+    std::vector<http_field> fields;
+    for (const auto& field : message)
+        fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    return fields;
+}
+
 } // namespace
 
 std::shared_ptr<http_channel> http_channel::create(const asio::any_io_executor& executor, const asio::ip::tcp::endpoint& endpoint)
@@ -193,13 +203,23 @@
     beast::error_code error;
     const auto consumed = m_parser->put(asio::buffer(m_unparsed), error);
     m_unparsed.erase(0, consumed);
-    if (error && error != http::error::need_more) {
+    if ((error && error != http::error::need_more) || !checkHead()) {
         failConnection();
         return false;
     }
     return m_parser->is_done();
 }
 
+// False if the head was received and can't be that of a reply.
+bool http_channel::checkHead()
+{
+    if (m_headChecked || !m_parser->is_header_done())
+        return true;
+    m_headChecked = true;
+    const auto& message = m_parser->get();
+    return isValidReplyHead(message.result_int(), copyFields(message), message.version() % 10);
+}
+
 void http_channel::startParser()
 {
     m_parser.emplace();
@@ -207,6 +227,7 @@
     m_parser->skip(m_isHead);
     m_parser->header_limit(maxHeaderBytes);
     m_parser->body_limit(maxReplyBytes);
+    m_headChecked = false;
 }
 
 // Continues with the next reply after an interim or discarded one.
@@ -229,8 +250,7 @@
     exchange_result result;
     result.stage = exchange_stage::replied;
     result.reply.status = message.result_int();
-    for (const auto& field : message)
-        result.reply.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    result.reply.fields = copyFields(message);
     result.reply.body = std::move(message.body());
     if (m_matches && !m_matches(result.reply)) {
         m_mustClose = true; // a reply to an earlier request, the reply to this one may follow
--- a/test/fuzz_test.cc
+++ b/test/fuzz_test.cc
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <cstring>
+#include <map>
 #include <random>
 
+#include "limpetpier/protocol/http_request_reader.h"
 #include "limpetpier/state/errors.h"
 #include "standins/gateway_fixture.h"
 
@@ -62,8 +65,180 @@
     std::mt19937 m_random;
 };
 
+// Reads a stream of requests strictly by RFC 9112, independently of the product's reader. Whatever is questionable ends the
+// reading.
+class strict_reading {
+public:
+    struct request {
+        std::string line;
+        std::string body;
+    };
+
+    explicit strict_reading(const std::string& bytes)
+        : m_bytes(bytes)
+    {
+        while (readRequest()) { }
+    }
+
+    [[nodiscard]] const std::vector<request>& requests() const { return m_requests; }
+
+private:
+    // Reads up to CR LF; fails on any other control character.
+    bool readLine(std::string& line)
+    {
+        const auto end = m_bytes.find("\r\n", m_position);
+        if (end == std::string::npos)
+            return false;
+        line = m_bytes.substr(m_position, end - m_position);
+        m_position = end + 2;
+        return std::none_of(line.begin(), line.end(), [](unsigned char code) { return (code < 32 && code != 9) || code == 127; });
+    }
+
+    static bool isDigits(const std::string& text, const char* digits) { return !text.empty() && text.size() <= 16 && text.find_first_not_of(digits) == std::string::npos; }
+
+    // Reads header or trailer fields up to the empty line, names in lower case.
+    bool readFields(std::multimap<std::string, std::string>& fields)
+    {
+        for (std::string line; readLine(line);) {
+            if (line.empty())
+                return true;
+            const auto colon = line.find(':');
+            if (colon == 0 || colon == std::string::npos)
+                return false;
+            auto name = line.substr(0, colon);
+            for (auto& character : name) {
+                if (std::isalnum(static_cast<unsigned char>(character)) == 0 && std::strchr("!#$%&'*+-.^_`|~", character) == nullptr)
+                    return false;
+                character = static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
+            }
+            auto value = line.substr(colon + 1);
+            value.erase(0, std::min(value.find_first_not_of(" \t"), value.size()));
+            value.erase(value.find_last_not_of(" \t") + 1);
+            fields.emplace(name, value);
+        }
+        return false;
+    }
+
+    bool readChunks(std::string& body)
+    {
+        for (std::string line; readLine(line);) {
+            const auto digits = line.substr(0, line.find(';'));
+            if (!isDigits(digits, "0123456789abcdefABCDEF"))
+                return false;
+            const auto size = std::stoull(digits, nullptr, 16);
+            std::multimap<std::string, std::string> trailer;
+            if (size == 0)
+                return readFields(trailer);
+            if (size > m_bytes.size() || m_position + size + 2 > m_bytes.size() || m_bytes.compare(m_position + size, 2, "\r\n") != 0)
+                return false;
+            body += m_bytes.substr(m_position, size);
+            m_position += size + 2;
+        }
+        return false;
+    }
+
+    bool readRequest()
+    {
+        request result;
+        while (m_bytes.compare(m_position, 2, "\r\n") == 0)
+            m_position += 2;
+        std::multimap<std::string, std::string> fields;
+        if (!readLine(result.line) || std::count(result.line.begin(), result.line.end(), ' ') != 2 || !readFields(fields))
+            return false;
+        const auto version = result.line.substr(result.line.rfind(' ') + 1);
+        if (version != "HTTP/1.1" && version != "HTTP/1.0")
+            return false;
+        const auto codings = fields.count("transfer-encoding");
+        const auto lengths = fields.equal_range("content-length");
+        if (codings > 0) {
+            auto coding = fields.find("transfer-encoding")->second;
+            std::transform(coding.begin(), coding.end(), coding.begin(), [](unsigned char character) { return std::tolower(character); });
+            if (codings > 1 || coding != "chunked" || lengths.first != lengths.second || version == "HTTP/1.0" || !readChunks(result.body))
+                return false;
+        } else if (lengths.first != lengths.second) {
+            const auto& text = lengths.first->second;
+            const bool areEqual = std::all_of(lengths.first, lengths.second, [&](const auto& field) { return field.second == text; });
+            if (!areEqual || !isDigits(text, "0123456789") || std::stoull(text) > m_bytes.size() - m_position)
+                return false;
+            result.body = m_bytes.substr(m_position, std::stoull(text));
+            m_position += result.body.size();
+        }
+        m_requests.push_back(result);
+        return true;
+    }
+
+    const std::string& m_bytes;
+    std::size_t m_position = 0;
+    std::vector<request> m_requests;
+};
+
 } // namespace
 
+TEST_CASE("The requests that are read of a mutated stream are those of a strict reading")
+{
+    const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy";
+    const std::string streams[] = {
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n"
+        "2;e=\"f\"\r\nde\r\n"
+        "0\r\nT: u\r\n\r\n"
+            + inner,
+        "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner + "GET /c HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST /d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3c\r\n"
+            + inner + std::string(60 - inner.size(), ' ') + "\r\n0\r\n\r\nGET /e HTTP/1.0\r\n\r\n",
+        "POST /f HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n" + inner,
+        "POST /g HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+    };
+    mutator random;
+    const std::size_t rounds = std::size_t { 100 } * fromEnvironment("LIMPET_FUZZ_ROUNDS", 400);
+    std::size_t readRequests = 0;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        const auto bytes = random.mutate(streams[random.pick(std::size(streams))]);
+        const auto expected = strict_reading(bytes).requests();
+        std::size_t count = 0;
+        for (std::string_view rest = bytes;;) {
+            http_request_reader reader({ 4096, 1000 });
+            const auto pieceSize = 1 + random.pick(2 * rest.size() + 1);
+            while (!rest.empty() && !reader.isComplete() && !reader.rejected())
+                rest.remove_prefix(reader.put(rest.substr(0, pieceSize)));
+            if (!reader.isComplete())
+                break;
+            const auto request = reader.takeRequest();
+            INFO(bytes);
+            REQUIRE(count < expected.size());
+            const auto& line = expected[count].line;
+            REQUIRE(line.substr(0, line.rfind(' ')) == request.method + " " + request.target);
+            REQUIRE(expected[count].body == request.body);
+            ++count;
+        }
+        readRequests += count;
+    }
+    CHECK(readRequests > rounds / 4);
+}
+
+TEST_CASE("At most the requests that a strict reading finds reach a searcher")
+{
+    standins::gateway_fixture fixture;
+    auto& searcher = fixture.addSearcher("a", "a1", "z");
+    fixture.writeConfiguration(1);
+    fixture.startAndAwaitReady();
+    const std::string head = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: outer\r\nDeadline-Ms: 50\r\n";
+    const std::string inner = "POST /unsafe/y HTTP/1.1\r\nHost: h.example\r\nRequest-Id: inner\r\nDeadline-Ms: 50\r\nContent-Length: 0\r\n\r\n";
+    mutator random;
+    const auto rounds = fromEnvironment("LIMPET_FUZZ_ROUNDS", 400);
+    for (std::uint32_t round = 0; round < rounds; ++round) {
+        const auto framing = random.mutate(random.pick(2) == 0 ? "Transfer-Encoding: chunked\r\n" : "Content-Length: 5\r\n");
+        const auto bytes = head + framing + "\r\n0\r\n\r\n" + inner;
+        const auto expected = strict_reading(bytes).requests().size();
+        const auto before = searcher.runsOf("outer") + searcher.runsOf("inner");
+        fixture.exchange(fixture.settings.clientAddress, bytes, milliseconds(30));
+        fixture.runFor(milliseconds(2));
+        INFO(bytes);
+        REQUIRE(searcher.runsOf("outer") + searcher.runsOf("inner") - before <= expected);
+    }
+}
+
 TEST_CASE("Mutated store documents are either decoded or rejected with a document error")
 {
     const platform::wire_protocol protocol;
--- a/test/gateway_request_test.cc
+++ b/test/gateway_request_test.cc
@@ -212,3 +212,27 @@
     REQUIRE(answer.received);
     CHECK(answer.reply.status == 502);
 }
+
+// Guards against running an order that nobody sent: a body with an unknown transfer coding was taken for further requests.
+TEST_CASE("No part of a body is taken for a request")
+{
+    request_fixture fixture;
+    const std::string inner = "POST /unsafe/inner HTTP/1.1\r\nHost: h.example\r\nRequest-Id: inner\r\nDeadline-Ms: 400\r\nContent-Length: 0\r\n\r\n";
+    const std::string fields = GENERATE(as<std::string> {}, "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: 0\r\nContent-Length: 5\r\n", "Transfer-Encoding: chunked;x=1\r\n", "Content-Length: 5\r\nTransfer-Encoding : chunked\r\n");
+    INFO(fields);
+    const auto answer = fixture.exchange(fixture.settings.clientAddress, "POST /unsafe/outer HTTP/1.1\r\nHost: h.example\r\nRequest-Id: outer\r\nDeadline-Ms: 400\r\n" + fields + "\r\n0\r\n\r\n" + inner);
+    fixture.runFor(milliseconds(20));
+    CHECK((answer.reply.status == 400 || answer.reply.status == 501));
+    CHECK(answer.reply.field("Connection") == "close");
+    CHECK(fixture.executionsOf("outer") == 0);
+    CHECK(fixture.executionsOf("inner") == 0);
+}
+
+TEST_CASE("Trailer fields of a request do not replace its header fields")
+{
+    request_fixture fixture;
+    const auto answer = fixture.exchange(fixture.settings.clientAddress, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: own\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\nRequest-Id: other\r\nDeadline-Ms: 1\r\n\r\n");
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.reply.field("Request-Id") == "own");
+    CHECK(fixture.executionsOf("own") == 1);
+}
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -114,3 +114,33 @@
         CHECK(*limit <= std::chrono::hours(24));
     }
 }
+
+// Guards against answers that are none: status 000 was forwarded, and an unknown transfer coding read up to the end of the
+// connection.
+TEST_CASE("What is not a reply fails the exchange and closes the connection")
+{
+    const std::string reply = GENERATE(as<std::string> {},
+        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 1000 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 2000 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 20 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 +20 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 -20 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 2x0 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", "HTTP/1.1 150 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\nbody", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody!", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    INFO(reply);
+    channel_fixture fixture;
+    const bool closes = GENERATE(false, true);
+    standins::raw_server server(fixture.io, 0, [&](const http_request&, const raw_exchange_handle& exchange) { exchange->send(reply, closes); });
+    const auto result = fixture.exchange(server.address(), plainRequest, milliseconds(500));
+    REQUIRE(result);
+    CHECK(result->stage == exchange_stage::no_reply);
+    CHECK_FALSE(fixture.wasOpenAfterwards);
+}
+
+TEST_CASE("A final reply after interim ones is delivered")
+{
+    channel_fixture fixture;
+    standins::raw_server server(fixture.io, 0, [&](const http_request&, const raw_exchange_handle& exchange) { exchange->send("HTTP/1.1 102 X\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", false); });
+    const auto result = fixture.exchange(server.address(), plainRequest, milliseconds(500));
+    REQUIRE(result);
+    CHECK(result->reply.status == 200);
+    CHECK(result->reply.body == "a");
+}
