One budget a process for what clients hold, and a cap on their connections

Cause: only single requests had limits, so crowds inside them filled the machine's memory and open files.

receive_budget becomes connection_budget: it bounds the bytes that all connections hold and their number, and chooses what is given up, as docs/design/door.md says. The gateway's listeners for clients, readiness and metrics share one; limpet-front and limpet-dispatch have one in http_server. A request that is executed is never given up; an incomplete one gets 503 with Retry-After if that can be sent at once. The gateway fixes malloc's threshold for large buffers, whose growth fragmented the heap.

--- a/include/limpetpier/transport/client_listener.h
+++ b/include/limpetpier/transport/client_listener.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "limpetpier/coordination/connection_budget.h"
 #include "limpetpier/protocol/http_message.h"
 #include "limpetpier/state/routing_table.h"
 #include "limpetpier/transport/http.h"
@@ -38,14 +39,15 @@
 // An HTTP/1.1 server for a single-threaded process. Each connection has at most one request in progress.
 //
 // Connections are read while a request is in progress, so that a disconnect is detected immediately. Requests that
-// exceed the limits are answered with a 4xx status without calling the handler.
+// exceed the limits are answered with a 4xx status without calling the handler. Listeners can share a budget of memory and
+// connections; a connection that it chooses to give up is closed, and its incomplete request is answered with 503.
 class client_listener {
 public:
     // Receives each request. Its call may be answered at once or later.
     using handler = std::function<void(http_request, client_call)>;
 
     // Listens on the endpoint and starts accepting. Throws boost::system::system_error if the endpoint can't be bound.
-    client_listener(asio::any_io_executor executor, const asio::ip::tcp::endpoint& endpoint, handler handle);
+    client_listener(asio::any_io_executor executor, const asio::ip::tcp::endpoint& endpoint, handler handle, std::shared_ptr<connection_budget> budget = std::make_shared<connection_budget>(connection_budget::limits {}));
 
     // Stops accepting and closes idle connections. Requests in progress can still be answered.
     ~client_listener();
--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -69,6 +69,7 @@
     call_failed = 604,
     part_missing = 605,
     request_unrouted = 606,
+    client_given_up = 608,
     part_failed = 607,
     readiness_changed = 105,
     log_left_out = 106,
--- a/include/limpetpier/transport/http.h
+++ b/include/limpetpier/transport/http.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
     milliseconds requestTimeout { 5000 }; // from the first byte of a request to its last
     milliseconds idleTimeout { 120'000 }; // between requests
     std::size_t connections = 4096; // open at once, further connections are closed on accept
+    std::size_t maxOpen = std::numeric_limits<std::size_t>::max(); // open at once, another connection is closed in favour of a new one
+    std::size_t totalBytes = 64U << 20; // of all incomplete requests and unsent replies, beyond it one is given up
 };
 
 // An HTTP/1.1 server on one port. Each connection runs on its own strand.
--- a/include/limpetpier/transport/http_channel.h
+++ b/include/limpetpier/transport/http_channel.h
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-#include "limpetpier/coordination/receive_budget.h"
+#include "limpetpier/coordination/connection_budget.h"
 #include "limpetpier/protocol/http_message.h"
 #include "limpetpier/state/clock.h"
 #include "limpetpier/transport/http.h"
@@ -53,7 +53,7 @@
 
     // Counts the bytes of incomplete replies against a budget that channels share. An exchange whose reply must be given up
     // fails, and its connection is closed. Must be called before open().
-    void useBudget(std::shared_ptr<receive_budget> budget);
+    void useBudget(std::shared_ptr<connection_budget> budget);
 
     // Sends one serialized request and passes the complete reply to the handler. A reply is complete when the body has
     // the declared length or, without a declared length, when the peer shuts the connection down. isHead tells that the
@@ -133,7 +133,7 @@
     std::string m_request;
     std::string m_unparsed; // received, not yet consumed by the parser
     std::uint64_t m_receivedBytes = 0; // in this exchange
-    std::unique_ptr<receive_budget::account> m_budgetAccount; // null if the channel has no budget
+    std::unique_ptr<connection_budget::account> m_budgetAccount; // null if the channel has no budget
     unsigned m_skippedReplies = 0; // in this exchange
     std::optional<response_parser> m_parser;
     bool m_headChecked = false; // of the reply that is being parsed
--- a/programs/front/main.cc
+++ b/programs/front/main.cc
@@ -1,8 +1,11 @@
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <csignal>
 #include <iostream>
+#include <sys/resource.h>
 
+#include "limpetpier/coordination/connection_budget.h"
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/events.h"
 #include "limpetpier/transport/http.h"
@@ -38,11 +41,22 @@
         { "deployment", "limpetpier", "Name of the deployment; nodes of other deployments are refused", setting_kind::text, true, 0, 0, false },
         { "workers", "2", "Worker threads", setting_kind::number, true, 1, 64, false },
         { "stop-timeout-ms", "10000", "Maximum duration of a graceful stop, in milliseconds", setting_kind::number, true, 100, 600'000, false },
+        { "client-memory-mb", "64", "Memory for requests and replies of all callers together, in MiB", setting_kind::number, true, 1, 1'000'000, false },
         { "node-secret", "", "Shared secret of the deployment's nodes", setting_kind::text, true, 0, 0, true },
     };
     return table;
 }
 
+http_limits findLimits(const program_settings& settings)
+{
+    http_limits limits;
+    limits.totalBytes = static_cast<std::size_t>(settings.number("client-memory-mb")) << 20U;
+    rlimit files {};
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0)
+        limits.maxOpen = std::min(limits.connections, connection_budget::limitsForMachine(0, files.rlim_cur).connections);
+    return limits;
+}
+
 // The front process: receives callers' requests over HTTP and answers each exactly once.
 class front_process {
 public:
@@ -53,7 +67,7 @@
         , m_view(io.get_executor(), settings.text("store"), settings.list("peers"), m_links)
         , m_searches(m_view, m_links)
         , m_orders(m_view, m_links, m_calls)
-        , m_http(io.get_executor(), parseTcpEndpoint(settings.text("http")), {}, [this](http_request request) { return answer(std::move(request)); })
+        , m_http(io.get_executor(), parseTcpEndpoint(settings.text("http")), findLimits(settings), [this](http_request request) { return answer(std::move(request)); })
         , m_stopTimeout(settings.number("stop-timeout-ms"))
         , m_signals(io, SIGTERM, SIGINT)
     {
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -44,8 +44,11 @@
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
     , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
-    , m_clientListener(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
-    , m_readinessListener(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
+    , m_clientBudget(std::make_shared<connection_budget>(m_settings.clientLimits))
+    , m_clientListener(
+          io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); }, m_clientBudget)
+    , m_readinessListener(
+          io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); }, m_clientBudget)
     , m_maintenanceTimer(io)
     , m_stopTimer(io)
     , m_signals(io, SIGTERM, SIGINT)
@@ -62,8 +65,9 @@
 void gateway::start()
 {
     if (!m_settings.metricsAddress.empty()) {
-        m_metricsListener = std::make_unique<client_listener>(m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
-            [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); });
+        m_metricsListener = std::make_unique<client_listener>(
+            m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
+            [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); }, m_clientBudget);
     }
     m_view.start();
     maintain();
@@ -77,6 +81,8 @@
 {
     m_settings.bounds = settings.bounds;
     m_settings.stopGrace = settings.stopGrace;
+    m_settings.clientLimits = settings.clientLimits;
+    m_clientBudget->changeLimits(settings.clientLimits);
     m_fleet.setDeploymentLimits(settings.bounds);
     m_view.notifyBoundsChanged();
 }
@@ -158,6 +164,8 @@
     gateway_metrics::gauges values;
     values.runningRequests = m_context.handlers.size();
     values.clientConnections = m_clientListener.connections();
+    values.clientBytes = m_clientBudget->used();
+    values.clientsGivenUp = m_clientBudget->revocations();
     values.searchers = fleetTotals.searchers;
     values.usableSearchers = fleetTotals.usable;
     values.searcherConnections = fleetTotals.connections;
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -50,6 +50,7 @@
     std::map<std::string, route_statistics> m_routeRecords; // by route name
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
     deployment_view m_view;
+    std::shared_ptr<connection_budget> m_clientBudget; // of all listeners
     client_listener m_clientListener;
     client_listener m_readinessListener;
     std::unique_ptr<client_listener> m_metricsListener;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -45,6 +45,8 @@
 {
     m_registry.set("limpet_requests_running", static_cast<double>(values.runningRequests));
     m_registry.set("limpet_client_connections", static_cast<double>(values.clientConnections));
+    m_registry.set("limpet_client_bytes", static_cast<double>(values.clientBytes));
+    m_registry.set("limpet_clients_given_up", static_cast<double>(values.clientsGivenUp));
     m_registry.set("limpet_searchers", static_cast<double>(values.searchers));
     m_registry.set("limpet_searchers_usable", static_cast<double>(values.usableSearchers));
     m_registry.set("limpet_searcher_connections", static_cast<double>(values.searcherConnections));
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -26,6 +26,8 @@
     struct gauges {
         std::size_t runningRequests = 0;
         std::size_t clientConnections = 0;
+        std::size_t clientBytes = 0; // held by requests and replies of clients
+        std::size_t clientsGivenUp = 0; // connections closed for lack of memory or connections, since the start
         std::size_t searchers = 0;
         std::size_t usableSearchers = 0;
         std::size_t searcherConnections = 0;
--- a/programs/gateway/gateway_settings.h
+++ b/programs/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "limpetpier/coordination/connection_budget.h"
 #include "membership.h"
 #include "searcher_fleet.h"
 
@@ -19,6 +20,7 @@
     std::string nodeSecret; // shared by the deployment's gateways; if empty, no views are exchanged with peers
     std::vector<std::string> seeds; // IP:port of some gateways, asked for their view while no member is known
     deployment_limits bounds;
+    connection_budget::limits clientLimits; // of the client, readiness and metrics listeners together
     milliseconds stopGrace { 6000 }; // from the termination signal to the forced exit
     membership_timing membershipTiming;
     milliseconds changeBatchDelay { 700 }; // changes in the store are collected for this long and read in one call
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <malloc.h>
 
 #include "gateway.h"
 #include "kv_store.h"
@@ -53,7 +54,18 @@
 // Renewals within the time to live, so that a failed one can be retried before the entry expires.
 constexpr int renewalsPerLease = 3;
 
-gateway_settings toGatewaySettings(const platform::node_settings& node)
+// Limits of the door: those of the flags, or else what the machine's memory and open files allow.
+connection_budget::limits findClientLimits(const platform::node_settings& node, const program_settings& flags)
+{
+    auto limits = connection_budget::limitsForMachine(node.memoryBytes, node.maxFiles);
+    if (const auto megabytes = flags.number("client-memory-mb"); megabytes > 0)
+        limits.bytes = static_cast<std::size_t>(megabytes) << 20U;
+    if (const auto connections = flags.number("client-connections"); connections > 0)
+        limits.connections = static_cast<std::size_t>(connections);
+    return limits;
+}
+
+gateway_settings toGatewaySettings(const platform::node_settings& node, const program_settings& flags)
 {
     gateway_settings settings;
     settings.node = node.node;
@@ -68,6 +80,7 @@
     settings.membershipTiming.watchCheckInterval = std::min(node.drainBound, node.configApplyBound) * watchCheckPercent / 100;
     settings.minExpiryOutage = node.searcherHeartbeat * (heartbeatsUntilExpiry - heartbeatsMissedAround);
     settings.stopGrace = node.stopGrace;
+    settings.clientLimits = findClientLimits(node, flags);
     settings.membershipTiming.leaseTtl = node.minLeaseTtl * leaseTtlFactor;
     settings.membershipTiming.renewalInterval = settings.membershipTiming.leaseTtl / renewalsPerLease;
     settings.membershipTiming.silenceTimeout = std::max(node.searcherHeartbeat * heartbeatsUntilExpiry - storeTimeout - expiryMargin, minSilenceTimeout);
@@ -77,8 +90,9 @@
 // Reloads the platform's settings file on SIGHUP, and periodically if its modification time changed.
 class settings_reloader {
 public:
-    settings_reloader(asio::io_context& io, std::string path, gateway& gatewayProcess)
+    settings_reloader(asio::io_context& io, std::string path, const program_settings& flags, gateway& gatewayProcess)
         : m_path(std::move(path))
+        , m_flags(flags)
         , m_gateway(gatewayProcess)
         , m_signal(io, SIGHUP)
         , m_timer(io)
@@ -117,7 +131,7 @@
         std::error_code failure;
         m_lastWriteTime = std::filesystem::last_write_time(m_path, failure);
         try {
-            m_gateway.changeSettings(toGatewaySettings(platform::readNodeSettings(m_path)));
+            m_gateway.changeSettings(toGatewaySettings(platform::readNodeSettings(m_path), m_flags));
             logEvent(event::settings_reloaded, event_fields().add("file", m_path));
         } catch (const settings_error& error) {
             logEvent(event::settings_invalid, event_fields().add("error", error.what()));
@@ -125,6 +139,7 @@
     }
 
     std::string m_path;
+    const program_settings& m_flags;
     gateway& m_gateway;
     asio::signal_set m_signal;
     asio::steady_timer m_timer;
@@ -138,6 +153,8 @@
         { "metrics-port", "0", "Port of the metrics listener on the machine's address; 0 disables it", setting_kind::number, true, 0, 65535, false },
         { "log-lines", "400", "Maximum log lines per second; routine lines may use half of it", setting_kind::number, true, 1, 1'000'000, false },
         { "log-bytes", "100000", "Maximum log bytes per second; routine lines may use half of it", setting_kind::number, true, 100, 100'000'000, false },
+        { "client-memory-mb", "0", "Memory for requests and replies of all clients together, in MiB; 0: a quarter of the machine's", setting_kind::number, true, 0, 1'000'000, false },
+        { "client-connections", "0", "Open connections of all clients together; 0: three quarters of the process's open files", setting_kind::number, true, 0, 1'000'000, false },
         { "node-secret", "", "Shared secret with which the gateways of a deployment exchange views of the store; empty disables the exchange", setting_kind::text, false, 0, 0, true },
     };
     return table;
@@ -148,7 +165,7 @@
     const auto flags = program_settings::read("limpet-gateway", "Serves client requests on the platform by sending them to its searchers.", settingsTable(), argc, argv, program_settings::check_mode::continue_after_flags);
     const auto path = flags.text("settings").empty() ? platform::nodeSettingsPath() : flags.text("settings");
     const auto node = platform::readNodeSettings(path);
-    auto settings = toGatewaySettings(node);
+    auto settings = toGatewaySettings(node, flags);
     for (const auto& address : { settings.clientAddress, settings.readyAddress, settings.peerAddress, node.storeAddress })
         static_cast<void>(parseTcpEndpoint(address));
     if (flags.isCheck()) {
@@ -158,12 +175,15 @@
     settings.nodeSecret = flags.text("node-secret");
     if (flags.number("metrics-port") != 0)
         settings.metricsAddress = node.ip + ":" + flags.text("metrics-port");
+    // Returns large buffers to the system at once. By default the threshold grows, and they fragment the heap.
+    constexpr int largeBufferBytes = 128 << 10;
+    mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
     startLog(node.node.value(), { static_cast<std::uint32_t>(flags.number("log-lines")), static_cast<std::uint32_t>(flags.number("log-bytes")), false });
     asio::io_context io(1);
     const platform::wire_protocol protocol;
     platform::kv_store store(io.get_executor(), node.storeAddress, storeTimeout);
     gateway gatewayProcess(io, protocol, store, settings);
-    const settings_reloader reloader(io, path, gatewayProcess);
+    const settings_reloader reloader(io, path, flags, gatewayProcess);
     gatewayProcess.start();
     logEvent(event::started, event_fields().add("http", node.clientAddress).add("metrics", settings.metricsAddress).add("settings", path));
     io.run();
--- a/programs/gateway/searcher_connection_pool.cc
+++ b/programs/gateway/searcher_connection_pool.cc
@@ -59,7 +59,7 @@
 
 } // namespace
 
-searcher_connection_pool::searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry, std::shared_ptr<receive_budget> budget)
+searcher_connection_pool::searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry, std::shared_ptr<connection_budget> budget)
     : m_executor(std::move(executor))
     , m_protocol(protocol)
     , m_entry(std::move(entry))
--- a/programs/gateway/searcher_connection_pool.h
+++ b/programs/gateway/searcher_connection_pool.h
@@ -24,7 +24,7 @@
 class searcher_connection_pool {
 public:
     // protocol must outlive the pool. The budget limits the memory for replies of all pools that share it.
-    searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry, std::shared_ptr<receive_budget> budget);
+    searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry, std::shared_ptr<connection_budget> budget);
     ~searcher_connection_pool();
     searcher_connection_pool(const searcher_connection_pool&) = delete;
     searcher_connection_pool& operator=(const searcher_connection_pool&) = delete;
@@ -120,7 +120,7 @@
     asio::any_io_executor m_executor;
     const gateway_protocol& m_protocol;
     searcher_entry m_entry;
-    std::shared_ptr<receive_budget> m_receiveBudget;
+    std::shared_ptr<connection_budget> m_receiveBudget;
     monotonic_time m_coldUntil {}; // according to its entry
     monotonic_time m_reportedColdUntil {}; // according to its last health check; an entry may be older
     cold_allowance m_coldRequests;
--- a/programs/gateway/searcher_fleet.cc
+++ b/programs/gateway/searcher_fleet.cc
@@ -33,7 +33,7 @@
     , m_protocol(protocol)
     , m_ownZone(std::move(ownZone))
     , m_deploymentLimits(limits)
-    , m_receiveBudget(std::make_shared<receive_budget>(maxIncompleteReplyBytes))
+    , m_receiveBudget(std::make_shared<connection_budget>(connection_budget::limits { maxIncompleteReplyBytes }))
 {
 }
 
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -99,7 +99,7 @@
     const gateway_protocol& m_protocol;
     data_centre_id m_ownZone;
     deployment_limits m_deploymentLimits;
-    std::shared_ptr<receive_budget> m_receiveBudget; // of the connections to all searchers
+    std::shared_ptr<connection_budget> m_receiveBudget; // of the connections to all searchers
     double m_retrySlack = 0; // this process's share
     std::set<data_centre_id> m_evacuated;
     std::map<searcher_id, std::unique_ptr<searcher_connection_pool>> m_pools;
--- a/src/transport/client_listener.cc
+++ b/src/transport/client_listener.cc
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "limpetpier/protocol/http_request_reader.h"
+#include "limpetpier/transport/events.h"
 #include "limpetpier/transport/http_format.h"
 
 namespace limpetpier {
@@ -25,6 +26,12 @@
 // Interval of the checks for idle connections, incomplete requests and blocked writes.
 constexpr milliseconds sweepInterval { 500 };
 
+// Memory of a connection without messages.
+constexpr std::size_t connectionBytes = 4096;
+
+// Number of copies of a request that exist while it is executed, at most.
+constexpr std::size_t copiesOfRunningRequest = 2;
+
 // Delay before accepting again after an error such as running out of file descriptors.
 constexpr milliseconds acceptRetryDelay { 50 };
 
@@ -37,12 +44,28 @@
     return reply;
 }
 
+// Not executed: the request was still incomplete.
+http_reply replyToGivenUpRequest()
+{
+    auto reply = errorReply(503, "no memory or connection left for this request, which was not executed; retry it on a new connection");
+    reply.fields.push_back({ "Retry-After", "1" });
+    return reply;
+}
+
+std::string peerName(const tcp::socket& socket)
+{
+    beast::error_code error;
+    const auto endpoint = socket.remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string();
+}
+
 } // namespace
 
 class client_listener::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(const asio::any_io_executor& executor, const tcp::endpoint& endpoint, handler handle)
-        : m_acceptor(executor, endpoint)
+    implementation(const asio::any_io_executor& executor, const tcp::endpoint& endpoint, handler handle, std::shared_ptr<connection_budget> sharedBudget)
+        : budget(std::move(sharedBudget))
+        , m_acceptor(executor, endpoint)
         , m_acceptRetryTimer(executor)
         , m_sweepTimer(executor)
         , m_handle(std::move(handle))
@@ -58,6 +81,7 @@
     void stop();
     void drain();
 
+    const std::shared_ptr<connection_budget> budget;
     client_limits limits;
     bool keepAliveDisabled = false;
     bool draining = false;
@@ -81,6 +105,7 @@
         : m_socket(std::move(socket))
         , m_listener(std::move(listener))
         , m_idleLimit(m_listener->limits.idleTimeout)
+        , m_account(m_listener->budget, [this] { asio::post(m_socket.get_executor(), [weak = weak_from_this()] { giveUp(weak); }); }) // posted, as another connection may be in the middle of a read
     {
     }
 
@@ -89,6 +114,7 @@
         beast::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
         startReader();
+        updateAccount();
         read();
     }
 
@@ -102,6 +128,8 @@
         m_closeAfter = reply.close || !m_keepAlive || m_listener->keepAliveDisabled;
         reply.close = m_closeAfter;
         m_output = formatReply(reply, m_isHead);
+        m_requestBytes = 0;
+        updateAccount();
         asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](const beast::error_code& error, std::size_t) { self->handleWritten(error); });
     }
 
@@ -134,6 +162,25 @@
     }
 
 private:
+    // Closes a connection that the budget revoked. An incomplete request was not executed, so its client is told to come
+    // back; nothing is sent if that would block.
+    static void giveUp(const std::weak_ptr<client_connection>& connection)
+    {
+        const auto self = connection.lock();
+        if (!self || self->m_state == state::waiting || self->m_state == state::closed)
+            return;
+        beast::error_code ignored;
+        if (self->m_state == state::reading && self->m_requestStarted) {
+            const auto text = formatReply(replyToGivenUpRequest(), false);
+            self->m_socket.non_blocking(true, ignored);
+            self->m_socket.write_some(asio::buffer(text), ignored);
+            self->m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        if (isLogged(event::client_given_up))
+            logEvent(event::client_given_up, event_fields().add("peer", self->m_peer).add("bytes", self->heldBytes()));
+        self->closeConnection();
+    }
+
     enum class state : std::uint8_t {
         reading,
         waiting,
@@ -141,6 +188,24 @@
         closed,
     };
 
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return connectionBytes + m_unparsed.capacity() + m_output.capacity() + m_requestBytes + (m_reader ? m_reader->heldBytes() : 0);
+    }
+
+    [[nodiscard]] connection_activity activity() const
+    {
+        if (m_state == state::waiting)
+            return connection_activity::running;
+        if (m_state == state::writing)
+            return connection_activity::sending;
+        if (m_requestStarted)
+            return connection_activity::receiving;
+        return m_wasUsed ? connection_activity::idle : connection_activity::unused;
+    }
+
+    void updateAccount() { m_account.update(heldBytes(), activity(), m_phaseStart, monotonic_clock::now()); }
+
     void startReader()
     {
         m_reader.emplace(http_request_reader::limits { m_listener->limits.headerBytes, m_listener->limits.bodyBytes });
@@ -170,6 +235,7 @@
         m_unparsed.append(m_buffer.data(), count);
         if (m_state == state::reading)
             parse();
+        updateAccount();
         read();
     }
 
@@ -181,6 +247,8 @@
                 m_phaseStart = monotonic_clock::now();
             }
             m_unparsed.erase(0, m_reader->put(m_unparsed));
+            if (m_unparsed.empty())
+                m_unparsed = std::string(); // releases its capacity
             if (const auto& rejection = m_reader->rejected())
                 rejectRequest(errorReply(rejection->status, rejection->reason));
             else if (m_reader->isComplete())
@@ -201,17 +269,26 @@
 
     void dispatchRequest()
     {
+        updateAccount();
+        if (m_account.isRevoked())
+            return;
         m_keepAlive = m_reader->keepAlive();
         auto request = m_reader->takeRequest();
         m_isHead = request.method == "HEAD";
         m_state = state::waiting;
         m_requestStarted = false;
+        m_wasUsed = true;
+        m_reader.reset();
+        m_requestBytes = copiesOfRunningRequest * occupiedBytes(request);
+        updateAccount();
         m_listener->handleRequest(std::move(request), client_call(shared_from_this()));
     }
 
     void rejectRequest(http_reply reply)
     {
         m_state = state::waiting;
+        m_reader.reset();
+        m_unparsed = std::string();
         answer(std::move(reply));
     }
 
@@ -219,7 +296,7 @@
     {
         if (m_state != state::writing)
             return;
-        m_output.clear();
+        m_output = std::string();
         if (error || m_closeAfter) {
             beast::error_code ignored;
             if (!error)
@@ -233,6 +310,7 @@
         m_idleLimit = m_listener->limits.idleTimeout;
         startReader();
         parse();
+        updateAccount();
         read();
     }
 
@@ -250,7 +328,11 @@
     std::optional<http_request_reader> m_reader;
     std::string m_unparsed;
     std::string m_output;
+    std::size_t m_requestBytes = 0; // of the request that is executed
+    bool m_wasUsed = false; // a request was complete
+    std::string m_peer = peerName(m_socket);
     std::function<void()> m_onDisconnect;
+    connection_budget::account m_account;
     std::array<char, 2048> m_buffer {};
 };
 
@@ -267,9 +349,11 @@
             });
             return;
         }
-        auto connection = std::make_shared<client_connection>(std::move(socket), self);
-        self->connections.insert(connection);
-        connection->start();
+        if (self->budget->makeRoomForConnection(monotonic_clock::now())) {
+            auto connection = std::make_shared<client_connection>(std::move(socket), self);
+            self->connections.insert(connection);
+            connection->start();
+        }
         self->accept();
     });
 }
@@ -310,8 +394,8 @@
 void client_call::answer(http_reply reply) { m_connection->answer(std::move(reply)); }
 void client_call::onDisconnect(std::function<void()> handler) { m_connection->onDisconnect(std::move(handler)); }
 
-client_listener::client_listener(asio::any_io_executor executor, const tcp::endpoint& endpoint, handler handle)
-    : m_implementation(std::make_shared<implementation>(executor, endpoint, std::move(handle)))
+client_listener::client_listener(asio::any_io_executor executor, const tcp::endpoint& endpoint, handler handle, std::shared_ptr<connection_budget> budget)
+    : m_implementation(std::make_shared<implementation>(executor, endpoint, std::move(handle), std::move(budget)))
 {
     m_implementation->start();
 }
--- a/src/transport/http.cc
+++ b/src/transport/http.cc
@@ -8,7 +8,9 @@
 #include <optional>
 #include <set>
 
+#include "limpetpier/coordination/connection_budget.h"
 #include "limpetpier/protocol/http_request_reader.h"
+#include "limpetpier/transport/http_format.h"
 
 namespace limpetpier {
 
@@ -24,11 +26,20 @@
 constexpr std::size_t maxReceivedBytes = maxReplyBytes + (1U << 20);
 constexpr std::size_t maxUnparsedBytes = 64U << 10;
 
+// Memory of a connection without messages, and number of copies of a running request and of a reply.
+constexpr std::size_t connectionBytes = 8192;
+constexpr std::size_t copiesOfRunningRequest = 2;
+constexpr std::size_t copiesOfReply = 2;
+
+// Delay before accepting again after an error such as running out of file descriptors.
+constexpr milliseconds acceptRetryDelay { 50 };
+
 // Maximum number of interim replies before a final one.
 constexpr unsigned maxInterimReplies = 16;
 constexpr unsigned firstFinalStatus = 200;
 
-// Size of one read.
+// Size of one read of a request and of a reply.
+constexpr std::size_t requestReadBytes = 4U << 10;
 constexpr std::size_t readBytes = 8U << 10;
 
 template <typename Message>
@@ -49,6 +60,14 @@
     return reply;
 }
 
+// Not executed: the request was still incomplete.
+http_reply replyToGivenUpRequest()
+{
+    auto reply = errorReply(503, "no memory or connection left for this request, which was not executed; retry it on a new connection");
+    reply.fields.push_back({ "Retry-After", "1" });
+    return reply;
+}
+
 } // namespace
 
 class http_server::implementation : public std::enable_shared_from_this<implementation> {
@@ -57,6 +76,7 @@
         : m_acceptor(asio::make_strand(executor), endpoint)
         , m_executor(std::move(executor))
         , m_limits(limits)
+        , m_budget(std::make_shared<connection_budget>(connection_budget::limits { limits.totalBytes, limits.maxOpen }))
         , m_handle(std::move(handle))
     {
     }
@@ -79,8 +99,8 @@
     void resetStreams()
     {
         const std::lock_guard lock(m_mutex);
-        for (auto* stream : m_streams)
-            asio::post(stream->get_executor(), [self = shared_from_this(), stream] { self->resetIfRegistered(stream); });
+        for (auto* open : m_connections)
+            asio::post(open->stream.get_executor(), [self = shared_from_this(), open] { self->resetIfRegistered(open); });
     }
 
     std::atomic<std::int64_t> acceptDelayMs { 0 };
@@ -88,18 +108,49 @@
     [[nodiscard]] std::size_t connections() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_streams.size();
+        return m_connections.size();
     }
 
 private:
+    // An open connection. Used on its strand.
+    struct connection {
+        connection(tcp::socket socket, implementation& server)
+            : stream(std::move(socket))
+            , id(++server.m_lastConnection)
+            , account(server.m_budget, [this, &server] { server.giveUpLater(this); })
+        {
+        }
+
+        void update(std::size_t bytes, connection_activity next)
+        {
+            const auto now = monotonic_clock::now();
+            if (next != activity)
+                since = now;
+            activity = next;
+            account.update(connectionBytes + bytes, activity, since, now);
+        }
+
+        beast::tcp_stream stream;
+        std::uint64_t id; // an address can be used again
+        connection_activity activity = connection_activity::unused;
+        monotonic_time since = monotonic_clock::now();
+        connection_budget::account account;
+    };
+
     awaitable<void> acceptLoop()
     {
+        asio::steady_timer retryTimer(m_acceptor.get_executor());
         while (!m_draining) {
             beast::error_code error;
             auto socket = co_await m_acceptor.async_accept(asio::make_strand(m_executor), asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted || m_draining)
                 co_return;
-            if (error)
+            if (error) {
+                retryTimer.expires_after(acceptRetryDelay);
+                co_await retryTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                continue;
+            }
+            if (!m_budget->makeRoomForConnection(monotonic_clock::now()))
                 continue;
             const auto strand = socket.get_executor();
             asio::co_spawn(
@@ -109,8 +160,9 @@
 
     awaitable<void> serve(tcp::socket socket)
     {
-        beast::tcp_stream stream(std::move(socket));
-        if (!registerStream(&stream))
+        connection open(std::move(socket), *this);
+        auto& stream = open.stream;
+        if (!registerConnection(&open))
             co_return;
         try {
             beast::error_code ignored;
@@ -119,23 +171,24 @@
                 asio::steady_timer timer(stream.get_executor(), milliseconds(delay));
                 co_await timer.async_wait(asio::use_awaitable);
             }
-            co_await serveRequests(stream);
+            co_await serveRequests(open);
         } catch (const std::exception&) {
             // The client disconnected or the handler threw. The connection is closed without a reply.
         }
-        unregisterStream(&stream);
+        unregisterConnection(&open);
     }
 
-    awaitable<void> serveRequests(beast::tcp_stream& stream)
+    awaitable<void> serveRequests(connection& client)
     {
-        beast::flat_buffer buffer(readBytes);
+        auto& stream = client.stream;
+        beast::flat_buffer buffer(requestReadBytes);
         bool open = true;
         while (open) {
             if (buffer.size() == 0 && !co_await waitForFirstByte(stream, buffer))
                 co_return;
             http_request_reader reader(http_request_reader::limits { m_limits.headerBytes, m_limits.bodyBytes });
             bool timedOut = false;
-            if (!co_await readRequest(stream, buffer, reader, timedOut))
+            if (!co_await readRequest(client, buffer, reader, timedOut) || client.account.isRevoked())
                 co_return;
             http_reply reply;
             bool keepAlive = false;
@@ -145,10 +198,14 @@
                 reply = errorReply(rejection->status, rejection->reason);
             } else {
                 keepAlive = reader.keepAlive();
-                reply = co_await m_handle(reader.takeRequest());
+                auto request = reader.takeRequest();
+                client.update(copiesOfRunningRequest * occupiedBytes(request), connection_activity::running);
+                reply = co_await m_handle(std::move(request));
             }
+            client.update(copiesOfReply * reply.body.size(), connection_activity::sending);
             open = keepAlive && !reply.close && !m_draining;
             co_await write(stream, reply, open);
+            client.update(0, connection_activity::idle);
         }
         beast::error_code ignored;
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -156,10 +213,11 @@
 
     // Reads one request. False if the connection ended before. The request timeout cancels only the read instead of closing
     // the stream, so that 408 can be sent.
-    awaitable<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, http_request_reader& reader, bool& timedOut)
+    awaitable<bool> readRequest(connection& client, beast::flat_buffer& buffer, http_request_reader& reader, bool& timedOut)
     {
         static const std::string interimReply = "HTTP/1.1 100 Continue\r\n\r\n";
         bool continueSent = false;
+        auto& stream = client.stream;
         stream.expires_never();
         asio::steady_timer timer(stream.get_executor(), m_limits.requestTimeout);
         timer.async_wait([&stream, &timedOut](const beast::error_code& cancelled) {
@@ -172,7 +230,8 @@
         for (;;) {
             const auto received = buffer.data();
             buffer.consume(reader.put({ static_cast<const char*>(received.data()), received.size() }));
-            if (error || timedOut || reader.isComplete() || reader.rejected())
+            client.update(buffer.capacity() + reader.heldBytes(), connection_activity::receiving);
+            if (error || timedOut || client.account.isRevoked() || reader.isComplete() || reader.rejected())
                 break;
             if (reader.expectsContinue() && !continueSent) {
                 continueSent = true;
@@ -180,12 +239,12 @@
                 if (error)
                     continue; // ends the loop
             }
-            const auto count = co_await stream.async_read_some(buffer.prepare(readBytes), asio::redirect_error(asio::use_awaitable, error));
+            const auto count = co_await stream.async_read_some(buffer.prepare(requestReadBytes), asio::redirect_error(asio::use_awaitable, error));
             buffer.commit(count);
         }
         if (timer.cancel() == 0 && !timedOut)
             co_await asio::post(stream.get_executor(), asio::use_awaitable); // lets the queued timer handler run first
-        co_return timedOut || reader.isComplete() || reader.rejected().has_value();
+        co_return !client.account.isRevoked() && (timedOut || reader.isComplete() || reader.rejected().has_value());
     }
 
     // Waits for the next request within the idle timeout. False if the client closed the connection or the timeout
@@ -194,7 +253,7 @@
     {
         beast::error_code error;
         stream.expires_after(m_limits.idleTimeout);
-        const auto count = co_await stream.async_read_some(buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+        const auto count = co_await stream.async_read_some(buffer.prepare(requestReadBytes), asio::redirect_error(asio::use_awaitable, error));
         buffer.commit(count);
         co_return !error;
     }
@@ -212,38 +271,72 @@
         co_await http::async_write(stream, message, asio::use_awaitable);
     }
 
-    bool registerStream(beast::tcp_stream* stream)
+    bool registerConnection(connection* opened)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_streams.size() >= m_limits.connections)
+        if (m_connections.size() >= m_limits.connections)
             return false;
-        m_streams.insert(stream);
+        m_connections.insert(opened);
         return true;
     }
 
-    void unregisterStream(beast::tcp_stream* stream)
+    void unregisterConnection(connection* closed)
     {
         const std::lock_guard lock(m_mutex);
-        m_streams.erase(stream);
+        m_connections.erase(closed);
     }
 
-    void resetIfRegistered(beast::tcp_stream* stream)
+    void resetIfRegistered(connection* open)
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_streams.contains(stream))
+        if (!m_connections.contains(open))
             return;
         beast::error_code ignored;
-        stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
-        stream->socket().close(ignored);
+        open->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        open->stream.socket().close(ignored);
+    }
+
+    // Called by the budget on any thread.
+    void giveUpLater(connection* revoked)
+    {
+        asio::post(revoked->stream.get_executor(), [self = shared_from_this(), revoked, id = revoked->id] {
+            if (self->isRegistered(revoked, id))
+                giveUp(*revoked);
+        });
+    }
+
+    bool isRegistered(connection* open, std::uint64_t id)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_connections.contains(open) && open->id == id;
+    }
+
+    // Closes a connection that the budget revoked, unless its request is executed by now. An incomplete request was not
+    // executed, so its client is told to come back; nothing is sent if that would block.
+    static void giveUp(connection& revoked)
+    {
+        if (revoked.activity == connection_activity::running)
+            return;
+        auto& socket = revoked.stream.socket();
+        beast::error_code ignored;
+        if (revoked.activity == connection_activity::receiving) {
+            const auto text = formatReply(replyToGivenUpRequest(), false);
+            socket.non_blocking(true, ignored);
+            socket.write_some(asio::buffer(text), ignored);
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        socket.close(ignored);
     }
 
     tcp::acceptor m_acceptor;
     asio::any_io_executor m_executor;
     http_limits m_limits;
+    std::shared_ptr<connection_budget> m_budget;
     handler m_handle;
     std::atomic<bool> m_draining { false };
     mutable std::mutex m_mutex;
-    std::set<beast::tcp_stream*> m_streams;
+    std::atomic<std::uint64_t> m_lastConnection { 0 };
+    std::set<connection*> m_connections;
 };
 
 http_server::http_server(asio::any_io_executor executor, const tcp::endpoint& endpoint, http_limits limits, handler handle)
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -110,10 +110,10 @@
     });
 }
 
-void http_channel::useBudget(std::shared_ptr<receive_budget> budget)
+void http_channel::useBudget(std::shared_ptr<connection_budget> budget)
 {
     // Posted, as another channel may be in the middle of a read.
-    m_budgetAccount = std::make_unique<receive_budget::account>(std::move(budget), [this] {
+    m_budgetAccount = std::make_unique<connection_budget::account>(std::move(budget), [this] {
         asio::post(m_socket.get_executor(), [weak = weak_from_this(), exchange = m_exchangeCount] {
             const auto self = weak.lock();
             if (!self || self->m_state != state::open || !self->m_exchangePending || self->m_exchangeCount != exchange)
--- a/test/node_settings_test.cc
+++ b/test/node_settings_test.cc
@@ -90,3 +90,13 @@
 {
     CHECK_THROWS_AS(platform::readNodeSettings("nowhere.toml"), settings_error);
 }
+
+TEST_CASE("The limits of the machine are read if they are stated")
+{
+    CHECK(readText(sample).memoryBytes == 0);
+    CHECK(readText(sample).maxFiles == 0);
+    const auto settings = readText(sample + "[limits]\nmemoryMb = 160\nmaxFds = 4100\n");
+    CHECK(settings.memoryBytes == 160U << 20U);
+    CHECK(settings.maxFiles == 4100);
+    CHECK(errorFor(sample + "[limits]\nmemoryMb = \"much\"\n").find("limits.memoryMb") != std::string::npos);
+}
--- a/test/searcher_connection_pool_test.cc
+++ b/test/searcher_connection_pool_test.cc
@@ -49,7 +49,7 @@
     boost::asio::io_context io { 1 };
     platform::wire_protocol protocol;
     standins::platform_searcher searcher { io, "a1", "z" };
-    searcher_connection_pool pool { io.get_executor(), protocol, makeEntry(), std::make_shared<receive_budget>(1U << 20) };
+    searcher_connection_pool pool { io.get_executor(), protocol, makeEntry(), std::make_shared<connection_budget>(connection_budget::limits { 1U << 20 }) };
     std::vector<call_result> results;
 };
 
