--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -72,6 +72,7 @@
     part_missing = 605,
     request_unrouted = 606,
     request_unauthorized = 630,
+    client_given_up = 608,
     part_failed = 607,
     readiness_changed = 105,
     log_left_out = 106,
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -64,6 +64,7 @@
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
     deployment_view m_view;
     workspace_limiter m_limiter;
+    std::shared_ptr<connection_budget> m_clientBudget; // of all listeners
     client_listener m_clientListener;
     client_listener m_readinessListener;
     std::unique_ptr<client_listener> m_metricsListener;
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -61,6 +61,7 @@
 
 void membership::writeOwnEntry(lease_id lease)
 {
+    m_entrySent = true;
     m_store.write(memberKeyPrefix + m_ownId.value(), encode(m_ownEntry), lease, [this, lease, sentAt = monotonic_clock::now()](store_result result) {
         if (m_leaving)
             return;
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -84,6 +84,7 @@
     monotonic_time m_renewedAt {}; // last renewal, or the write of the entry under a new lease
     monotonic_time m_watchCheckedAt {};
     bool m_renewing = false;
+    bool m_entrySent = false;
     bool m_leaving = false;
     std::map<node_id, member> m_members;
 };
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -104,7 +104,7 @@
     const gateway_protocol& m_protocol;
     data_centre_id m_ownZone;
     deployment_limits m_deploymentLimits;
-    std::shared_ptr<receive_budget> m_receiveBudget; // of the connections to all searchers
+    std::shared_ptr<connection_budget> m_receiveBudget; // of the connections to all searchers
     sustained_share m_retrySlackShare; // this process's part of the slack
     double m_retrySlack = 0; // of that part, what may be used now
     std::set<data_centre_id> m_evacuated;
--- a/programs/gateway/workspace_limiter.cc
+++ b/programs/gateway/workspace_limiter.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "limpetpier/coordination/return_delay.h"
+#include "limpetpier/state/errors.h"
+#include "limpetpier/transport/endpoints.h"
 #include "limpetpier/transport/events.h"
 
 namespace limpetpier {
@@ -23,6 +25,23 @@
 
 constexpr std::chrono::seconds refusalMemory { 1 };
 
+// A keeper that did not answer in time is asked after the other one for this long.
+constexpr std::chrono::seconds silencePeriod { 1 };
+
+// Addresses of the members that have a valid one.
+std::map<node_id, asio::ip::udp::endpoint> parseAddresses(const std::map<node_id, std::string>& addresses)
+{
+    std::map<node_id, asio::ip::udp::endpoint> result;
+    for (const auto& [name, address] : addresses) {
+        try {
+            result.emplace(name, parseUdpEndpoint(address));
+        } catch (const limpet_error& error) {
+            logEvent(event::entry_unreadable, event_fields().add("key", name.value()).add("error", error.what()));
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 workspace_limiter::workspace_limiter(const asio::any_io_executor& executor, const node_id& self, std::string peerAddress, std::string secret, milliseconds confirmationPeriod)
@@ -65,7 +84,8 @@
             limit = { limit.perSecond / parts, limit.burst / parts };
         members = { { m_self, {} } };
     }
-    m_addresses = memberAddresses;
+    m_addresses = parseAddresses(memberAddresses);
+    std::erase_if(m_silentUntil, [&](const auto& known) { return !m_addresses.contains(known.first); });
     m_keeper.update(keptLimits, members, isRestart, monotonic_clock::now());
     // Requests that wait are decided by the keepers that were asked for them.
     std::erase_if(m_askers, [&](const auto& known) { return !m_limits.contains(known.first) && known.second.waiting.empty(); });
@@ -96,25 +116,38 @@
 
 void workspace_limiter::ask(const workspace_id& workspace, asker& entry)
 {
+    const auto now = monotonic_clock::now();
     entry.keepersLeft = m_keeper.keepersOf(workspace);
+    std::stable_partition(entry.keepersLeft.begin(), entry.keepersLeft.end(), [&](const node_id& keeper) {
+        const auto silent = m_silentUntil.find(keeper);
+        return silent == m_silentUntil.end() || silent->second <= now;
+    });
+    entry.keepers = entry.keepersLeft.size();
+    entry.askedFor = entry.waiting.size();
+    entry.limitAnswers = 0;
     entry.isLimitReached = false;
     entry.nextPermit = milliseconds(0);
     entry.answers = 0;
     askNext(workspace, entry);
 }
 
-// Asks the next keeper for the requests that wait, or refuses them if none is left.
+// Asks the next keeper for the requests that wait. If none is left, refuses those that all keepers were asked for and asks
+// again for the others.
 void workspace_limiter::askNext(const workspace_id& workspace, asker& entry)
 {
     const auto now = monotonic_clock::now();
     entry.openQuestion = 0;
     if (entry.keepersLeft.empty()) {
-        if (entry.isLimitReached)
+        if (entry.limitAnswers > 0 && entry.limitAnswers == entry.keepers)
             entry.refusedUntil = now + std::min(entry.nextPermit, maxRefusalPeriod);
-        const auto refused = std::exchange(entry.waiting, {});
+        const auto refusedEnd = entry.waiting.begin() + static_cast<std::ptrdiff_t>(std::min(entry.askedFor, entry.waiting.size()));
+        const std::vector<waiting_request> refused(std::make_move_iterator(entry.waiting.begin()), std::make_move_iterator(refusedEnd));
+        entry.waiting.erase(entry.waiting.begin(), refusedEnd);
         m_waiting -= refused.size();
         for (const auto& request : refused)
             refuse(workspace, entry, request, now);
+        if (!entry.waiting.empty() && entry.openQuestion == 0)
+            ask(workspace, entry);
         return;
     }
     const auto keeper = entry.keepersLeft.front();
@@ -131,14 +164,16 @@
         return;
     }
     entry.openQuestion = ++m_lastQuestion;
-    m_port->send({ false, workspace.value(), entry.openQuestion, wanted, false, 0 }, parseUdpEndpoint(address->second));
+    m_port->send({ false, workspace.value(), entry.openQuestion, wanted, false, 0 }, address->second);
     if (!entry.timer)
         entry.timer = std::make_unique<asio::steady_timer>(m_executor);
     entry.timer->expires_after(answerTimeout);
-    entry.timer->async_wait([this, workspace, question = entry.openQuestion](const boost::system::error_code& cancelled) {
+    entry.timer->async_wait([this, workspace, keeper, question = entry.openQuestion](const boost::system::error_code& cancelled) {
         const auto found = m_askers.find(workspace);
-        if (!cancelled && found != m_askers.end() && found->second.openQuestion == question)
-            askNext(workspace, found->second);
+        if (cancelled || found == m_askers.end() || found->second.openQuestion != question)
+            return;
+        m_silentUntil[keeper] = monotonic_clock::now() + silencePeriod;
+        askNext(workspace, found->second);
     });
 }
 
@@ -167,6 +202,7 @@
     if (answer.nextPermit > milliseconds(0))
         entry.nextPermit = entry.nextPermit == milliseconds(0) ? answer.nextPermit : std::min(entry.nextPermit, answer.nextPermit);
     entry.isLimitReached = entry.isLimitReached || answer.isLimitReached;
+    entry.limitAnswers += answer.isLimitReached ? 1 : 0;
     admitWaiting(entry, now);
     if (!entry.waiting.empty() && entry.openQuestion == 0)
         askNext(workspace, entry);
@@ -180,6 +216,7 @@
         entry.waiting.pop_front();
     }
     m_waiting -= admitted.size();
+    entry.askedFor -= std::min(entry.askedFor, admitted.size());
     for (const auto& request : admitted)
         request.decided({ true, false, milliseconds(0), std::chrono::duration_cast<milliseconds>(now - request.since), 0 });
 }
--- a/programs/gateway/workspace_limiter.h
+++ b/programs/gateway/workspace_limiter.h
@@ -69,10 +69,13 @@
     struct asker {
         permit_pool pool;
         std::deque<waiting_request> waiting;
-        std::vector<node_id> keepersLeft; // not asked yet for the requests that wait
+        std::vector<node_id> keepersLeft; // not asked yet for the first requests that wait
+        std::size_t keepers = 0; // that are asked in this round, including those left
+        std::size_t askedFor = 0; // requests that waited when the round began; later ones are asked for in another round
+        std::size_t limitAnswers = 0; // keepers that said that the limit is reached
         std::uint64_t openQuestion = 0; // 0 for none
         monotonic_time askedAt;
-        bool isLimitReached = false; // a keeper said so
+        bool isLimitReached = false; // a keeper said so in this round
         milliseconds nextPermit { 0 };
         std::size_t answers = 0; // of the keepers asked for the requests that wait
         monotonic_time refusedUntil; // both keepers have nothing until then
@@ -94,7 +97,8 @@
     rate_keeper m_keeper;
     milliseconds m_window { 0 };
     std::map<workspace_id, rate_limit> m_limits; // over all processes
-    std::map<node_id, std::string> m_addresses;
+    std::map<node_id, asio::ip::udp::endpoint> m_addresses;
+    std::map<node_id, monotonic_time> m_silentUntil; // keepers that did not answer; they are asked last until then
     std::map<workspace_id, asker> m_askers;
     std::unique_ptr<permit_port> m_port;
     std::uint64_t m_lastQuestion = 0;
--- a/test/workspace_limiter_test.cc
+++ b/test/workspace_limiter_test.cc
@@ -203,3 +203,47 @@
     CHECK(limitReturnDelay(milliseconds(100), 19, 10, 1999) == milliseconds(2099));
     CHECK(limitReturnDelay(milliseconds::max() / 2, 0, 0, 7) == milliseconds(10'000));
 }
+
+TEST_CASE("Requests that arrive while a keeper is being asked are put to it as well")
+{
+    limiter_fixture fixture(5);
+    fixture.applyLimit(20, 20);
+    fixture.run(milliseconds(1100)); // fills the bursts
+    std::vector<std::size_t> keepers;
+    std::size_t other = 0;
+    for (std::size_t gateway = 0; gateway < fixture.limiters.size(); ++gateway) {
+        if (fixture.limiters[gateway]->keptCount() > 0)
+            keepers.push_back(gateway);
+        else
+            other = gateway;
+    }
+    REQUIRE(keepers.size() == 2);
+    fixture.limiters[keepers[GENERATE(std::size_t(0), std::size_t(1))]].reset(); // does not answer
+
+    int granted = 0;
+    int decided = 0;
+    for (int request = 0; request < 6; ++request) {
+        fixture.limiters[other]->acquire(limitedWorkspace, 0, [&](const permit_decision& decision) {
+            ++decided;
+            granted += decision.granted ? 1 : 0;
+        });
+    }
+    fixture.io.restart();
+    fixture.io.run_for(milliseconds(400));
+    CHECK(decided == 6);
+    CHECK(granted == 6);
+
+    SECTION("and an address that cannot be read stops nothing")
+    {
+        for (const auto keeper : keepers)
+            fixture.addresses[node_id("node-" + std::to_string(keeper))] = "nowhere";
+        fixture.limiters[other]->update(makeTable(20, 20), fixture.addresses, true);
+        bool isDecided = false;
+        for (int request = 0; request < 20; ++request)
+            fixture.limiters[other]->acquire(limitedWorkspace, 0, [&](const permit_decision&) { isDecided = true; });
+        fixture.io.restart();
+        fixture.io.run_for(milliseconds(400));
+        CHECK(isDecided);
+        CHECK(fixture.limiters[other]->waiting() == 0);
+    }
+}
