What was received before a request was sent is not its reply

Cause: bytes that a peer sent between exchanges and that the event loop had not seen were read as the reply to the next request. http_channel and http_connection now look for them before they write, and fail the exchange as not written.

The new cases were not run against the code before.

--- a/src/transport/http.cc
+++ b/src/transport/http.cc
@@ -420,6 +420,11 @@
     auto& stream = m_implementation->stream;
     if (!m_implementation->open)
         co_return result;
+    beast::error_code error;
+    if (m_implementation->buffer.size() > 0 || stream.socket().available(error) > 0) {
+        close(); // received before the request was sent, so it can't be a reply to it
+        co_return result;
+    }
 
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
     message.set(http::field::host, "target");
@@ -429,7 +434,6 @@
     message.body() = std::move(request.body);
     message.prepare_payload();
 
-    beast::error_code error;
     stream.expires_after(timeout);
     const auto written = co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
     result.stage = written > 0 ? exchange_stage::no_reply : exchange_stage::not_written;
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -142,6 +142,16 @@
     m_onReply = std::move(handler);
     m_request = std::move(request);
     startParser();
+    beast::error_code ignored;
+    if (m_socket.available(ignored) > 0) {
+        // Received before the request was sent, so it can't be a reply to it. Posted, as the caller does not expect the result
+        // within its call.
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), exchange = m_exchangeCount] {
+            if (self->m_state == state::open && self->m_exchangePending && self->m_exchangeCount == exchange)
+                self->failConnection();
+        });
+        return;
+    }
     write();
 }
 
@@ -183,8 +193,8 @@
 
 void http_channel::handleData(const char* data, std::size_t count)
 {
-    if (!m_exchangePending) {
-        failConnection(); // received data without a pending request
+    if (!m_exchangePending || (!m_writePending && !m_anyWritten)) {
+        failConnection(); // received data without a pending request, or before it was sent
         return;
     }
     m_unparsed.append(data, count);
--- a/test/gateway_request_test.cc
+++ b/test/gateway_request_test.cc
@@ -236,3 +236,23 @@
     CHECK(answer.reply.field("Request-Id") == "own");
     CHECK(fixture.executionsOf("own") == 1);
 }
+
+TEST_CASE("A reply that is none is not forwarded, and the request follows the rule of its kind")
+{
+    request_fixture fixture;
+    const std::string status = GENERATE(as<std::string> {}, "000", "099", "600", "101");
+    INFO(status);
+    standins::raw_server faulty(fixture.io, 0, [&](const http_request& request, const standins::raw_exchange_handle& exchange) {
+        const bool isHealthCheck = request.target == "/healthz";
+        exchange->send("HTTP/1.1 " + (isHealthCheck ? "200" : status) + " X\r\nInstance-Id: b1\r\nRequest-Id: " + request.field("Request-Id") + "\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n", false);
+    });
+    auto& searcher = fixture.addSearcher("b", "b1", "z");
+    searcher.advertise(faulty.address());
+    fixture.store.put("servers/b1", searcher.entry("b", "z1"));
+    fixture.writeConfiguration(2, R"(,{"name":"b","host":"h.example","prefix":"/b/","type":"unsafe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"b","maxAttempts":2})");
+    fixture.runFor(milliseconds(500));
+    const auto answer = fixture.sendRequest("/b/x", "id1", "POST");
+    REQUIRE(answer.received);
+    CHECK((answer.reply.status == 502 || answer.reply.status == 504));
+    CHECK(answer.reply.field("Response-Stamp").empty());
+}
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -144,3 +144,37 @@
     CHECK(result->reply.status == 200);
     CHECK(result->reply.body == "a");
 }
+
+TEST_CASE("What was received before a request was sent is not its reply")
+{
+    const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    boost::asio::io_context io { 1 };
+    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 });
+    const auto channel = http_channel::create(io.get_executor(), acceptor.local_endpoint());
+    std::optional<exchange_result> result;
+    const auto exchange = [&] {
+        result.reset();
+        channel->exchange(plainRequest, false, {}, [&](exchange_result outcome) { result = std::move(outcome); });
+    };
+    const auto run = [&] {
+        io.restart();
+        io.run_for(milliseconds(50));
+    };
+    bool isOpen = false;
+    channel->open(milliseconds(500), [&](bool opened) { isOpen = opened; });
+    auto peer = acceptor.accept();
+    run();
+    REQUIRE(isOpen);
+    exchange();
+    boost::asio::write(peer, boost::asio::buffer(reply + "a"));
+    run();
+    REQUIRE(result);
+    CHECK(result->reply.body == "a");
+
+    boost::asio::write(peer, boost::asio::buffer(reply + "b"));
+    exchange(); // before the event loop has seen the second reply
+    run();
+    REQUIRE(result);
+    CHECK(result->stage == exchange_stage::not_written);
+    CHECK_FALSE(channel->isOpen());
+}
