Restored store: tests that fail without the new lease and without the era

Cause: a trial with the code's steps removed showed that two tests passed without them: a lost lease was noticed by its renewal as well, and the change that was looked for had a revision beyond the known one. Change: the stand-in grants leases to others, so that the lost lease's number is another's; the change lies below the known revision while the store has passed it.

--- a/test/gateway_store_restored_test.cc
+++ b/test/gateway_store_restored_test.cc
@@ -93,10 +93,11 @@
     fixture.runFor(milliseconds(400));
     const auto before = fixture.store.revision();
     fixture.store.restoreCopy(); // without an outage: only the waiting watch is cut
-    for (int write = 0; write < 8; ++write)
-        fixture.store.put("other/" + std::to_string(write), "x"); // beyond the revision that the gateway knows
-    REQUIRE(fixture.store.revision() > before);
     fixture.writeConfiguration(6, newRoute);
+    REQUIRE(fixture.store.revision() < before);
+    for (int write = 0; write < 8; ++write)
+        fixture.store.put("other/" + std::to_string(write), "x");
+    REQUIRE(fixture.store.revision() > before); // so that the store has the revision that the gateway knows
     CHECK(fixture.runUntil([&] { return fixture.sendRequest("/new/x", "id1").reply.status == 200; }, propagationTime));
 }
 
@@ -117,6 +118,14 @@
     CHECK(fixture.runUntil([&] { return fixture.store.holds(ownKey); }, milliseconds(1000)));
     CHECK(fixture.isReady());
 
+    SECTION("also if the store has given the number of its lease to another process")
+    {
+        fixture.store.restoreCopy();
+        for (int lease = 0; lease < 10; ++lease)
+            fixture.store.grantLease();
+        CHECK(fixture.runUntil([&] { return fixture.store.holds(ownKey); }, milliseconds(1000)));
+    }
+
     SECTION("also if the store's first answers are lost")
     {
         fixture.store.restoreCopy();
--- a/test/standins/platform_store.h
+++ b/test/standins/platform_store.h
@@ -44,6 +44,9 @@
     void keepCopy();
     void restoreCopy();
 
+    // Grants a lease to another process than those that call this store.
+    void grantLease() { ++m_leases; }
+
     // Makes the answers state no era.
     void omitEra() { m_statesEra = false; }
 
