--- a/include/limpetpier/coordination/connection_budget.h
+++ b/include/limpetpier/coordination/connection_budget.h
@@ -85,8 +85,9 @@
     // the oldest first.
     bool makeRoomForConnection(monotonic_time now);
 
-    // True if this many bytes more are within the limit.
-    [[nodiscard]] bool hasRoomFor(std::size_t bytes) const;
+    // True if a complete request of this many bytes may be executed. Requests that are executed hold at most half of the
+    // memory, or one request more, because they can't be given up: otherwise they would push out all other messages.
+    [[nodiscard]] bool hasRoomToRun(std::size_t bytes) const;
 
     // Bytes held by all accounts that were not revoked.
     [[nodiscard]] std::size_t used() const;
@@ -99,10 +100,12 @@
     account* select(Rank rankOf);
     void set(account& changed, std::size_t bytes, connection_activity activity, monotonic_time since, monotonic_time now);
     void revoke(account& chosen);
+    void release(account& released);
 
     mutable std::mutex m_mutex;
     limits m_limits;
     std::size_t m_used = 0;
+    std::size_t m_running = 0; // of m_used, by requests that are executed
     std::size_t m_revocations = 0;
     std::size_t m_open = 0; // accounts that were not revoked
     std::vector<account*> m_accounts; // in the order of their creation
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -26,6 +26,21 @@
 // Retry-After of requests that arrive before the first configuration.
 constexpr milliseconds configurationRetryDelay { 300 };
 
+// Part (1/n) of the limits on clients that the readiness and the metrics listener have each, so that clients can't keep the
+// checks of the platform out.
+constexpr std::size_t operationsDivisor = 8;
+
+connection_budget::limits clientLimits(const connection_budget::limits& all)
+{
+    constexpr std::size_t parts = operationsDivisor - 2;
+    return { all.bytes / operationsDivisor * parts, all.connections / operationsDivisor * parts };
+}
+
+connection_budget::limits operationsLimits(const connection_budget::limits& all)
+{
+    return { all.bytes / operationsDivisor, std::max<std::size_t>(all.connections / operationsDivisor, 1) };
+}
+
 // Readiness checks answered with 503 after which the load balancer has removed this process.
 constexpr std::uint32_t unreadyChecksUntilRemoval = 2;
 
@@ -48,11 +63,13 @@
     , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
     , m_limiter(io.get_executor(), m_settings.node, m_settings.peerAddress, m_settings.nodeSecret, m_settings.membershipTiming.leaseTtl / 2)
-    , m_clientBudget(std::make_shared<connection_budget>(m_settings.clientLimits))
+    , m_readinessBudget(std::make_shared<connection_budget>(operationsLimits(m_settings.clientLimits)))
+    , m_metricsBudget(std::make_shared<connection_budget>(operationsLimits(m_settings.clientLimits)))
+    , m_clientBudget(std::make_shared<connection_budget>(clientLimits(m_settings.clientLimits)))
     , m_clientListener(
           io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); }, m_clientBudget)
     , m_readinessListener(
-          io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); }, m_clientBudget)
+          io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); }, m_readinessBudget)
     , m_maintenanceTimer(io)
     , m_stopTimer(io)
     , m_signals(io, SIGTERM, SIGINT)
@@ -71,7 +88,7 @@
     if (!m_settings.metricsAddress.empty()) {
         m_metricsListener = std::make_unique<client_listener>(
             m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
-            [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); }, m_clientBudget);
+            [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); }, m_metricsBudget);
     }
     m_limiter.changeBounds(m_settings.bounds.limitWindow, m_settings.bounds.limitSlack);
     if (m_settings.bounds.limitWindow > milliseconds(0))
@@ -89,7 +106,9 @@
     m_settings.bounds = settings.bounds;
     m_settings.stopGrace = settings.stopGrace;
     m_settings.clientLimits = settings.clientLimits;
-    m_clientBudget->changeLimits(settings.clientLimits);
+    m_clientBudget->changeLimits(clientLimits(settings.clientLimits));
+    m_readinessBudget->changeLimits(operationsLimits(settings.clientLimits));
+    m_metricsBudget->changeLimits(operationsLimits(settings.clientLimits));
     m_fleet.setDeploymentLimits(settings.bounds);
     m_limiter.changeBounds(settings.bounds.limitWindow, settings.bounds.limitSlack);
     if (settings.bounds.limitWindow > milliseconds(0))
@@ -244,8 +263,8 @@
     gateway_metrics::gauges values;
     values.runningRequests = m_context.handlers.size();
     values.clientConnections = m_clientListener.connections();
-    values.clientBytes = m_clientBudget->used();
-    values.clientsGivenUp = m_clientBudget->revocations();
+    values.clientBytes = m_clientBudget->used() + m_readinessBudget->used() + m_metricsBudget->used();
+    values.clientsGivenUp = m_clientBudget->revocations() + m_readinessBudget->revocations() + m_metricsBudget->revocations();
     values.searchers = fleetTotals.searchers;
     values.usableSearchers = fleetTotals.usable;
     values.searcherConnections = fleetTotals.connections;
--- a/src/coordination/connection_budget.cc
+++ b/src/coordination/connection_budget.cc
@@ -50,7 +50,7 @@
 {
     const std::lock_guard lock(m_budget->m_mutex);
     if (!m_revoked) {
-        m_budget->m_used -= m_bytes;
+        m_budget->release(*this);
         --m_budget->m_open;
     }
     std::erase(m_budget->m_accounts, this);
@@ -72,7 +72,7 @@
 {
     const std::lock_guard lock(m_budget->m_mutex);
     if (!m_revoked)
-        m_budget->m_used -= m_bytes;
+        m_budget->release(*this);
     else
         ++m_budget->m_open;
     m_bytes = 0;
@@ -106,7 +106,9 @@
 {
     if (changed.m_revoked)
         return;
-    m_used += bytes - changed.m_bytes;
+    release(changed);
+    m_used += bytes;
+    m_running += activity == connection_activity::running ? bytes : 0;
     changed.m_bytes = bytes;
     changed.m_activity = activity;
     changed.m_since = since;
@@ -150,17 +152,24 @@
 
 void connection_budget::revoke(account& chosen)
 {
-    m_used -= chosen.m_bytes;
+    release(chosen);
     --m_open;
     ++m_revocations;
     chosen.m_revoked = true;
     chosen.m_onRevoked();
 }
 
-bool connection_budget::hasRoomFor(std::size_t bytes) const
+// Subtracts what the account holds, which is then set anew.
+void connection_budget::release(account& released)
+{
+    m_used -= released.m_bytes;
+    m_running -= released.m_activity == connection_activity::running ? released.m_bytes : 0;
+}
+
+bool connection_budget::hasRoomToRun(std::size_t bytes) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_used <= m_limits.bytes && bytes <= m_limits.bytes - m_used;
+    return m_running == 0 || (m_running <= m_limits.bytes / 2 && bytes <= m_limits.bytes / 2 - m_running);
 }
 
 std::size_t connection_budget::used() const
--- a/src/transport/client_listener.cc
+++ b/src/transport/client_listener.cc
@@ -286,6 +286,11 @@
         m_wasUsed = true;
         m_reader.reset();
         m_requestBytes = copiesOfRunningRequest * occupiedBytes(request);
+        if (!m_listener->budget->hasRoomToRun(heldBytes())) {
+            m_requestBytes = 0;
+            rejectRequest(replyToGivenUpRequest());
+            return;
+        }
         updateAccount();
         m_listener->handleRequest(std::move(request), client_call(shared_from_this()));
     }
