--- a/include/limpetpier/protocol/messages.h
+++ b/include/limpetpier/protocol/messages.h
@@ -239,11 +239,12 @@
 struct view_request {
     std::uint64_t revision = 0; // store revision of the sender's view; 0 for none
     std::int64_t ageMs = 0; // age of that view; used by earlier versions only
+    std::uint64_t era = 0; // of the store, in which the revision was assigned
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(revision, ageMs);
+        archive(revision, ageMs, era);
     }
 };
 
@@ -284,17 +285,18 @@
     std::int64_t ageMs = 0; // time since the store last answered the gateway
     std::uint64_t revision = 0; // store revision of this view
     bool unchanged = false; // the requester's view is as recent; the fields below are empty
-    std::string tableText; // the operator's configuration as stored
+    std::string tableText; // the operator's configuration as stored, with digests instead of keys: frames are not encrypted
     std::vector<data_centre_id> evacuatedZones;
     std::vector<viewed_searcher> searchers;
     std::vector<node_id> members;
     std::vector<std::string> memberEntries; // stored values of members, in the same order
     std::vector<viewed_rollout> rollouts;
+    std::uint64_t era = 0; // of the store, in which the revision was assigned
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(ageMs, revision, unchanged, tableText, evacuatedZones, searchers, members, memberEntries, rollouts);
+        archive(ageMs, revision, unchanged, tableText, evacuatedZones, searchers, members, memberEntries, rollouts, era);
     }
 };
 
@@ -302,6 +304,22 @@
 using node_message = std::variant<ping_message, search_batch, sub_request_reply, slow_notice, cancel_message, digest_request, digest_reply,
     state_request, state_reply, order_request, run_request, call_reply, handover_message, handover_ack, view_request, view_reply>;
 
+// Asks a keeper of a workspace's limit for permits, or answers that over UDP. Gateway to gateway.
+struct permit_message {
+    bool isAnswer = false;
+    std::string workspace;
+    std::uint64_t number = 0; // of the question, also in its answer
+    std::uint32_t count = 0; // permits wanted or granted
+    bool isLimitReached = false; // nothing was granted because of the limit
+    std::int64_t nextPermitMs = 0; // when one more may be expected; 0 if that is unknown
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(isAnswer, workspace, number, count, isLimitReached, nextPermitMs);
+    }
+};
+
 // A heartbeat over UDP, or its acknowledgement.
 struct probe_message {
     bool isAck = false;
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -36,6 +36,14 @@
         throw document_error("searchers", entry.id.value(), "slots or a cold time out of range", "at least 1 slot and a cold time of at most ten years", "the entry is ignored");
 }
 
+void logAmbiguousKeys(const routing_table& table)
+{
+    if (!table.hasWorkspaces())
+        return;
+    for (const auto& key : table.workspaces()->ambiguousKeys())
+        logEvent(event::workspace_key_ambiguous, event_fields().add("key_digest", key.shortName()).add("table", table.version().value()));
+}
+
 // Time after the start at which the member list counts as complete even if it still changes.
 constexpr milliseconds maxSettleTime { 2500 };
 
@@ -48,7 +56,7 @@
     , m_share({ settings.node, settings.zone }, {})
     , m_storeFollower(executor, store, {}, { maxWatchWait, settings.changeBatchDelay, settings.minExpiryOutage },
           { [this](const std::vector<store_item>& items, monotonic_time keepRemovedUntil) { replaceContents(items, keepRemovedUntil); },
-              [this](const store_item& item, monotonic_time keepRemovedUntil) { apply(item, keepRemovedUntil); }, std::move(onReachable) })
+              [this](const store_item& item, monotonic_time keepRemovedUntil) { apply(item, keepRemovedUntil); }, std::move(onReachable), [this] { handleRestoredStore(); } })
     , m_membership(executor, store, m_storeFollower, { settings.node, settings.zone }, settings.peerAddress, settings.membershipTiming)
 {
 }
@@ -64,7 +72,11 @@
 
 void deployment_view::maintain(monotonic_time now)
 {
-    m_revision = revision(); // the follower's is zero while it reads all keys again
+    m_position = position(); // the follower's is zero while it reads all keys again
+    if (m_storeFollower.isReachable()) {
+        for (const auto& key : m_carriedKeys.takeExpired(now))
+            apply({ key, {}, {}, true }, now);
+    }
     m_changes.searchers.merge(m_directory.expire(now));
     if (m_membersChanged)
         updateMembers();
@@ -77,12 +89,70 @@
     return m_storeFollower.hasRead() ? std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - m_storeFollower.lastAnswer()) : milliseconds(-1);
 }
 
+std::map<node_id, std::string> deployment_view::memberAddresses() const
+{
+    std::map<node_id, std::string> result;
+    for (const auto& [name, member] : m_membership.members())
+        result.emplace(name, member.address);
+    return result;
+}
+
+// The table and its version stay as they are: the operator's write is made again. Members, searchers and evacuations that
+// the older copy lacks are kept until their writers have had the time to write them again.
+void deployment_view::handleRestoredStore()
+{
+    m_isStoreRestored = true;
+    m_membership.rejoin();
+}
+
+// Replaces what entries from an older copy of the store say of a searcher by what was known: a later start, the draining
+// state, which only a start ends, and a shorter cold time.
+void deployment_view::keepNewerState(std::vector<searcher_entry>& entries, monotonic_time now) const
+{
+    for (auto& entry : entries) {
+        const auto known = m_directory.records().find(entry.id);
+        if (known == m_directory.records().end())
+            continue;
+        const auto& [knownEntry, coldUntil, removeAt] = known->second;
+        if (entry.startTimeMs < knownEntry.startTimeMs)
+            entry = knownEntry;
+        if (entry.startTimeMs != knownEntry.startTimeMs)
+            continue;
+        entry.draining = entry.draining || knownEntry.draining;
+        entry.coldTimeLeft = std::min(entry.coldTimeLeft, std::chrono::ceil<milliseconds>(std::max(coldUntil, now) - now));
+    }
+}
+
+std::set<std::string> deployment_view::listedKeys() const
+{
+    auto keys = m_membership.keys();
+    for (const auto& zone : m_evacuatedZones)
+        keys.insert(m_protocol.evacuationPrefix() + zone.value());
+    for (const auto& [key, item] : m_rolloutItems)
+        keys.insert(key);
+    return keys;
+}
+
 void deployment_view::replaceContents(const std::vector<store_item>& items, monotonic_time keepRemovedUntil)
 {
-    m_evacuatedZones.clear();
-    m_rolloutItems.clear();
-    m_changes.rollouts = true;
-    m_membership.clear();
+    const auto now = monotonic_clock::now();
+    const bool isRestored = std::exchange(m_isStoreRestored, false);
+    if (isRestored)
+        m_copyOutdatedUntil = keepRemovedUntil;
+    m_position = m_storeFollower.position(); // lower than before if the store was restored without stating an era
+    auto absent = listedKeys();
+    for (const auto& item : items)
+        absent.erase(item.key);
+    if (isRestored) {
+        // The processes write states and reports of roll-outs again at once.
+        auto carried = absent;
+        std::erase_if(carried, [&](const auto& key) { return isRolloutKey(key) && !key.starts_with(m_protocol.rolloutOrderPrefix()); });
+        m_carriedKeys.carry(carried, keepRemovedUntil);
+    }
+    for (const auto& key : absent) {
+        if (!m_carriedKeys.contains(key))
+            apply({ key, {}, {}, true }, keepRemovedUntil);
+    }
     std::vector<searcher_entry> entries;
     for (const auto& item : items) {
         if (!item.key.starts_with(m_protocol.searcherPrefix()))
@@ -90,15 +160,21 @@
         else if (auto entry = readSearcher(item))
             entries.push_back(std::move(*entry));
     }
-    m_changes.searchers.merge(m_directory.replaceAll(entries, monotonic_clock::now(), keepRemovedUntil));
+    if (now < m_copyOutdatedUntil)
+        keepNewerState(entries, now);
+    m_changes.searchers.merge(m_directory.replaceAll(entries, now, keepRemovedUntil));
     m_changes.rules = true;
-    const bool wasListedBefore = !m_settled && m_membership.members().contains(m_settings.node);
+    const bool isListed = m_membership.members().contains(m_settings.node);
+    if (!m_wasListedBefore)
+        m_wasListedBefore = isListed && !m_membership.hasSentEntry();
+    const bool wasListedBefore = !m_settled && isListed;
     updateMembers();
     m_settled = m_settled || wasListedBefore; // after a restart the list from before it is still complete
 }
 
 void deployment_view::apply(const store_item& item, monotonic_time keepRemovedUntil)
 {
+    m_carriedKeys.confirm(item.key);
     if (isRolloutKey(item.key)) {
         if (item.removed)
             m_rolloutItems.erase(item.key);
@@ -142,9 +218,10 @@
         auto table = std::make_shared<const routing_table>(m_protocol.decodeTable(text));
         if (m_table && table->version() <= m_table->version())
             return;
-        logEvent(event::table_adopted, event_fields().add("version", table->version().value()).add("before", m_table ? m_table->version().value() : 0).add("routes", table->routes().size()));
+        logEvent(event::table_adopted, event_fields().add("version", table->version().value()).add("before", m_table ? m_table->version().value() : 0).add("routes", table->routes().size()).add("workspaces", table->hasWorkspaces() ? table->workspaces()->size() : 0));
+        m_tableText = table->hasWorkspaces() ? m_protocol.redactTable(text) : text;
         m_table = std::move(table);
-        m_tableText = text;
+        logAmbiguousKeys(*m_table);
     } catch (const std::exception& error) {
         logEvent(event::table_unreadable, event_fields().add("error", error.what()));
     }
@@ -211,8 +288,10 @@
     // The age counts from the last answer, also while the store seems reachable: a process that is cut off together with
     // the requester must not confirm its view before it has noticed the outage itself.
     view.ageMs = std::chrono::duration_cast<milliseconds>(now - lastStoreContact()).count();
-    view.revision = revision();
-    view.unchanged = view.revision <= request.revision;
+    const auto current = position();
+    view.era = current.era.value();
+    view.revision = current.revision.value();
+    view.unchanged = current <= store_position { store_era(request.era), store_revision(request.revision) };
     if (view.unchanged)
         return view;
     view.tableText = m_tableText;
@@ -231,20 +310,20 @@
     return view;
 }
 
-// Adopts a peer's view if it is of a later revision. One of the same revision only confirms this process's view, if the
+// Adopts a peer's view if it is of a later position. One of the same position only confirms this process's view, if the
 // store answered that peer later than it answered this process.
 void deployment_view::adoptView(const view_reply& view)
 {
     const auto now = monotonic_clock::now();
     const auto confirmedAt = now - std::max(milliseconds(view.ageMs), milliseconds(0));
-    const auto knownRevision = revision();
-    const bool isLater = !view.unchanged && view.revision > knownRevision;
-    const bool isConfirmation = view.revision == knownRevision && confirmedAt > lastStoreContact();
+    const store_position offered { store_era(view.era), store_revision(view.revision) };
+    const bool isLater = !view.unchanged && offered > position();
+    const bool isConfirmation = offered == position() && confirmedAt > lastStoreContact();
     if (m_storeFollower.isReachable() || (!isLater && !isConfirmation) || view.members.size() != view.memberEntries.size())
         return;
     m_peerViewConfirmedAt = std::max(m_peerViewConfirmedAt, confirmedAt);
     if (isLater) {
-        m_revision = view.revision;
+        m_position = offered;
         replaceWith(view, now);
     }
     logEvent(event::view_from_peer, event_fields().add("age_ms", view.ageMs).add("table", m_table ? m_table->version().value() : 0).add("searchers", m_directory.records().size()).add("unchanged", view.unchanged ? "yes" : "no"));
@@ -253,6 +332,7 @@
 void deployment_view::replaceWith(const view_reply& view, monotonic_time now)
 {
     adoptTable(view.tableText);
+    m_carriedKeys.clear();
     m_evacuatedZones = { view.evacuatedZones.begin(), view.evacuatedZones.end() };
     std::vector<searcher_entry> entries;
     for (const auto& searcher : view.searchers) {
@@ -275,13 +355,12 @@
     for (std::size_t index = 0; index < view.members.size(); ++index)
         m_membership.put(view.members[index], view.memberEntries[index]);
     m_settled = true;
+    if (!m_wasListedBefore)
+        m_wasListedBefore = m_membership.members().contains(m_settings.node) && !m_membership.hasSentEntry();
     updateMembers();
 }
 
-std::uint64_t deployment_view::revision() const
-{
-    return std::max(m_revision, m_storeFollower.revision().value());
-}
+store_position deployment_view::position() const { return std::max(m_position, m_storeFollower.position()); }
 
 void deployment_view::requestPeerViews(monotonic_time now)
 {
@@ -300,7 +379,7 @@
     for (std::size_t count = 0; count < peersPerRequest && count < addresses.size(); ++count)
         selected.push_back(addresses[(m_share.rank("peers") + peerStride * m_peerRequestCount++) % addresses.size()]);
     const auto knownAge = lastStoreContact() == monotonic_time {} ? milliseconds::max() : std::chrono::duration_cast<milliseconds>(now - lastStoreContact());
-    m_peers->requestViews(selected, { revision(), knownAge.count() });
+    m_peers->requestViews(selected, { position().revision.value(), knownAge.count(), position().era.value() });
 }
 
 } // namespace limpetpier
--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -54,6 +54,12 @@
     // Returns whether the member list is complete enough to divide the shared limits by it.
     [[nodiscard]] bool isSettled() const { return m_settled; }
 
+    // Returns whether this process was on the first member list that it read: a process of the same name ran before it.
+    [[nodiscard]] bool wasListedBefore() const { return m_wasListedBefore.value_or(false); }
+
+    // Addresses (IP:port) of the live members for messages between gateways.
+    [[nodiscard]] std::map<node_id, std::string> memberAddresses() const;
+
     // Returns whether the store answers this process.
     [[nodiscard]] bool isReachable() const { return m_storeFollower.isReachable(); }
 
@@ -79,6 +85,9 @@
     void notifyBoundsChanged() { m_changes.rules = true; }
 
 private:
+    void handleRestoredStore();
+    void keepNewerState(std::vector<searcher_entry>& entries, monotonic_time now) const;
+    [[nodiscard]] std::set<std::string> listedKeys() const; // of members and of zones under evacuation
     void replaceContents(const std::vector<store_item>& items, monotonic_time keepRemovedUntil);
     void apply(const store_item& item, monotonic_time keepRemovedUntil);
     void applyOperator(const store_item& item);
@@ -91,14 +100,14 @@
     [[nodiscard]] std::optional<view_reply> makeView(const view_request& request) const;
     void adoptView(const view_reply& view);
     void replaceWith(const view_reply& view, monotonic_time now);
-    [[nodiscard]] std::uint64_t revision() const; // store revision of this view; 0 before the first
+    [[nodiscard]] store_position position() const; // of the store, that this view reflects; zero before the first
     void requestPeerViews(monotonic_time now);
 
     asio::any_io_executor m_executor;
     const gateway_protocol& m_protocol;
     const gateway_settings& m_settings;
     std::shared_ptr<const routing_table> m_table;
-    std::string m_tableText; // of m_table, as stored
+    std::string m_tableText; // of m_table, as stored, but with digests instead of keys
     searcher_directory m_directory;
     std::set<data_centre_id> m_evacuatedZones;
     std::map<std::string, store_item> m_rolloutItems;
@@ -107,11 +116,15 @@
     membership m_membership;
     std::unique_ptr<peer_views> m_peers;
     monotonic_time m_peerViewConfirmedAt {}; // when the store last answered a peer that confirmed this view
-    std::uint64_t m_revision = 0; // highest store revision of this view so far
+    store_position m_position; // that this view has reflected so far
+    carried_keys m_carriedKeys; // of members, zones under evacuation and orders of roll-outs
+    bool m_isStoreRestored = false; // and the keys have not been read since
+    monotonic_time m_copyOutdatedUntil {}; // until then, entries may be from before the store was restored
     monotonic_time m_nextPeerRequestAt {};
     std::size_t m_peerRequestCount = 0;
     changes m_changes;
     bool m_settled = false;
+    std::optional<bool> m_wasListedBefore; // set when the first list has been read
     monotonic_time m_startedAt = monotonic_clock::now();
     monotonic_time m_membersChangedAt = monotonic_clock::now();
     bool m_membersChanged = false;
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include "gateway_request_handler.h"
+#include "limpetpier/coordination/caller_access.h"
 #include "limpetpier/coordination/return_delay.h"
 #include "limpetpier/state/errors.h"
 #include "limpetpier/transport/endpoints.h"
@@ -15,7 +16,9 @@
 
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusLimitReached = 429;
 
 // Between two runs of the periodic maintenance.
 constexpr milliseconds maintenanceInterval { 100 };
@@ -23,6 +26,21 @@
 // Retry-After of requests that arrive before the first configuration.
 constexpr milliseconds configurationRetryDelay { 300 };
 
+// Part (1/n) of the limits on clients that the readiness and the metrics listener have each, so that clients can't keep the
+// checks of the platform out.
+constexpr std::size_t operationsDivisor = 8;
+
+connection_budget::limits clientLimits(const connection_budget::limits& all)
+{
+    constexpr std::size_t parts = operationsDivisor - 2;
+    return { all.bytes / operationsDivisor * parts, all.connections / operationsDivisor * parts };
+}
+
+connection_budget::limits operationsLimits(const connection_budget::limits& all)
+{
+    return { all.bytes / operationsDivisor, std::max<std::size_t>(all.connections / operationsDivisor, 1) };
+}
+
 // Readiness checks answered with 503 after which the load balancer has removed this process.
 constexpr std::uint32_t unreadyChecksUntilRemoval = 2;
 
@@ -45,8 +63,14 @@
     , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
     , m_rollouts(protocol, store, m_settings, m_fleet)
-    , m_clientListener(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
-    , m_readinessListener(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
+    , m_limiter(io.get_executor(), m_settings.node, m_settings.peerAddress, m_settings.nodeSecret, m_settings.membershipTiming.leaseTtl / 2)
+    , m_readinessBudget(std::make_shared<connection_budget>(operationsLimits(m_settings.clientLimits)))
+    , m_metricsBudget(std::make_shared<connection_budget>(operationsLimits(m_settings.clientLimits)))
+    , m_clientBudget(std::make_shared<connection_budget>(clientLimits(m_settings.clientLimits)))
+    , m_clientListener(
+          io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); }, m_clientBudget)
+    , m_readinessListener(
+          io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); }, m_readinessBudget)
     , m_maintenanceTimer(io)
     , m_stopTimer(io)
     , m_signals(io, SIGTERM, SIGINT)
@@ -63,9 +87,13 @@
 void gateway::start()
 {
     if (!m_settings.metricsAddress.empty()) {
-        m_metricsListener = std::make_unique<client_listener>(m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
-            [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); });
+        m_metricsListener = std::make_unique<client_listener>(
+            m_io.get_executor(), parseTcpEndpoint(m_settings.metricsAddress),
+            [this](const http_request& request, client_call call) { handleMetrics(request, std::move(call)); }, m_metricsBudget);
     }
+    m_limiter.changeBounds(m_settings.bounds.limitWindow, m_settings.bounds.limitSlack);
+    if (m_settings.bounds.limitWindow > milliseconds(0))
+        m_limiter.start();
     m_view.start();
     maintain();
     m_signals.async_wait([this](const boost::system::error_code& error, int) {
@@ -78,13 +106,21 @@
 {
     m_settings.bounds = settings.bounds;
     m_settings.stopGrace = settings.stopGrace;
+    m_settings.clientLimits = settings.clientLimits;
+    m_clientBudget->changeLimits(clientLimits(settings.clientLimits));
+    m_readinessBudget->changeLimits(operationsLimits(settings.clientLimits));
+    m_metricsBudget->changeLimits(operationsLimits(settings.clientLimits));
     m_fleet.setDeploymentLimits(settings.bounds);
+    m_limiter.changeBounds(settings.bounds.limitWindow, settings.bounds.limitSlack);
+    if (settings.bounds.limitWindow > milliseconds(0))
+        m_limiter.start();
     m_view.notifyBoundsChanged();
 }
 
 void gateway::handleRequest(http_request message, client_call call)
 {
-    auto request = std::make_shared<client_request>(m_protocol.decodeRequest(std::move(message)));
+    const auto credentials = m_view.table() && m_view.table()->hasWorkspaces() ? credential_policy::check : credential_policy::forward;
+    auto request = std::make_shared<client_request>(m_protocol.decodeRequest(std::move(message), credentials));
     if (!m_view.table())
         call.answer(m_protocol.encodeFailure(statusUnavailable, "no configuration yet; come back in a moment", configurationRetryDelay));
     else if (request->id.empty() || request->host.empty())
@@ -103,6 +139,13 @@
         call.answer(m_protocol.encodeFailure(statusNotFound, "no route for this host and path", {}));
         return;
     }
+    const auto access = checkAccess(*m_view.table(), *rule, request->key);
+    if (!access.isAllowed) {
+        refuseUnauthorized(*request, *rule, call);
+        return;
+    }
+    if (access.caller != nullptr)
+        request->workspace = access.caller->id;
     const auto now = monotonic_clock::now();
     if (isLogged(event::request_begun))
         logEvent(event::request_begun, event_fields().add("request", request->id).add("route", rule->name).add("table", m_view.table()->version().value()).add("time_left_ms", request->timeLeft.value_or(rule->timeout)).add("view_age_ms", m_view.age()));
@@ -121,13 +164,63 @@
     auto& statistics = m_routeRecords[rule->name];
     const auto waited = request->timeLeft ? statistics.clientWait.record(*request->timeLeft, rule->latencyObjective / gather_policy::maxWaitDivisor) : milliseconds(0);
     accepted_request run { std::move(request), m_view.table(), rule, &statistics, now, waited, now + timeLeft, std::move(call) };
-    run.priority = rule->priority;
+    run.workspace = run.clientRequest->workspace;
+    run.priority = requestPriority(*rule, access.caller);
     admit(std::move(run));
 }
 
+void gateway::refuseUnauthorized(const client_request& request, const limpetpier::route& rule, client_call& call)
+{
+    if (isLogged(event::request_unauthorized))
+        logEvent(event::request_unauthorized, event_fields().add("request", request.id).add("route", rule.name).add("key_digest", request.key ? request.key->shortName() : "").add("table", m_view.table()->version().value()).add("view_age_ms", m_view.age()));
+    request_report refusal;
+    refusal.route = rule.name;
+    refusal.tableVersion = m_view.table()->version();
+    refusal.outcome = "unauthorized";
+    refusal.status = statusUnauthorized;
+    m_metrics.record(refusal);
+    call.answer(m_protocol.encodeFailure(statusUnauthorized, "this route needs a key that the current configuration knows", {}));
+}
+
 void gateway::admit(accepted_request run)
 {
-    startRequest(std::move(run));
+    startWithinLimit(std::move(run));
+}
+
+void gateway::startWithinLimit(accepted_request run)
+{
+    if (!m_limiter.isLimited(run.workspace)) {
+        startRequest(std::move(run));
+        return;
+    }
+    const auto workspace = run.workspace;
+    const auto spread = std::hash<std::string> {}(run.clientRequest->id);
+    const auto shared = std::make_shared<accepted_request>(std::move(run));
+    m_limiter.acquire(workspace, spread, [this, shared](const permit_decision& decision) {
+        m_metrics.recordPermit(decision);
+        if (decision.granted)
+            startRequest(std::move(*shared));
+        else
+            refuseBeyondLimit(*shared, decision);
+    });
+}
+
+void gateway::refuseBeyondLimit(accepted_request& run, const permit_decision& decision)
+{
+    if (isLogged(event::request_beyond_limit))
+        logEvent(event::request_beyond_limit, event_fields().add("request", run.clientRequest->id).add("route", run.matchedRoute->name).add("workspace", run.workspace.value()).add("why", decision.isLimitReached ? "limit_reached" : "no_keeper").add("keepers", decision.keepersAsked).add("waited_ms", decision.waited).add("return_ms", decision.returnDelay).add("view_age_ms", m_view.age()));
+    request_report refusal;
+    refusal.requestId = run.clientRequest->id;
+    refusal.route = run.matchedRoute->name;
+    refusal.tableVersion = run.routingTable->version();
+    refusal.outcome = decision.isLimitReached ? "limit_reached" : "limit_unknown";
+    refusal.status = decision.isLimitReached ? statusLimitReached : statusUnavailable;
+    refusal.elapsed = std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - run.arrivedAt);
+    report(refusal);
+    if (decision.isLimitReached)
+        run.clientCall.answer(m_protocol.encodeFailure(statusLimitReached, "the workspace has reached its limit, so this request was not executed; retry it", decision.returnDelay));
+    else
+        run.clientCall.answer(m_protocol.encodeFailure(statusUnavailable, "the limit of the workspace cannot be checked at present, so this request was not executed; retry it", decision.returnDelay));
 }
 
 void gateway::startRequest(accepted_request run)
@@ -171,6 +264,8 @@
     gateway_metrics::gauges values;
     values.runningRequests = m_context.handlers.size();
     values.clientConnections = m_clientListener.connections();
+    values.clientBytes = m_clientBudget->used() + m_readinessBudget->used() + m_metricsBudget->used();
+    values.clientsGivenUp = m_clientBudget->revocations() + m_readinessBudget->revocations() + m_metricsBudget->revocations();
     values.searchers = fleetTotals.searchers;
     values.usableSearchers = fleetTotals.usable;
     values.searcherConnections = fleetTotals.connections;
@@ -178,6 +273,8 @@
     values.tableVersion = m_view.table() ? m_view.table()->version().value() : 0;
     values.viewAgeSeconds = std::chrono::duration<double>(m_view.age()).count();
     values.ready = isReady();
+    values.limitsKept = m_limiter.keptCount();
+    values.waitingForPermits = m_limiter.waiting();
     values.shares = m_fleet.limitsByService();
     values.extraSendsLeft = m_fleet.remainingExtraSends(monotonic_clock::now());
     for (const auto& row : m_rollouts.rows())
@@ -227,14 +324,17 @@
     }
     if (!changes.searchers.empty())
         m_fleet.updateEntries(m_view.directory(), changes.searchers, *table, m_view.share());
-    if (changes.rules)
+    if (changes.rules) {
         m_fleet.updateConfiguration(*table, m_view.share(), m_view.evacuatedZones());
+        m_limiter.update(*table, m_view.memberAddresses(), m_view.wasListedBefore());
+    }
 }
 
 void gateway::maintain()
 {
     const auto now = monotonic_clock::now();
     m_view.maintain(now);
+    m_limiter.maintain(m_view.lastStoreContact(), now);
     refreshFleet();
     m_rollouts.maintain(m_view, now);
     m_fleet.maintain(now);
@@ -251,6 +351,7 @@
     logEvent(event::stopping, event_fields().add("running", m_context.handlers.size()));
     m_stop.emplace(monotonic_clock::now(), m_settings.stopGrace);
     m_clientListener.disableKeepAlive();
+    m_limiter.leave();
     m_view.leave();
     continueStop();
 }
@@ -263,7 +364,7 @@
     const bool isRemoved = m_unreadyReplies >= unreadyChecksUntilRemoval || now >= m_stop->answersDue() - 2 * lateArrivalPeriod;
     if (now >= m_stop->answersDue())
         answerRunningRequests();
-    const bool isDone = m_context.handlers.empty() && m_clientListener.unfinishedReplies() == 0;
+    const bool isDone = m_context.handlers.empty() && m_limiter.waiting() == 0 && m_clientListener.unfinishedReplies() == 0;
     if (m_draining && now >= m_arrivalsEndAt && (isDone || now >= m_stop->exitDue())) {
         logEvent(event::stopped, event_fields().add("running", m_context.handlers.size()).add("unfinished_replies", m_clientListener.unfinishedReplies()).add("ms", std::chrono::duration_cast<milliseconds>(now - m_stop->startedAt())));
         flushLog();
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "limpetpier/coordination/traffic_split.h"
 #include "request_handling.h"
 #include "rollouts.h"
+#include "workspace_limiter.h"
 
 namespace limpetpier {
 
@@ -30,8 +31,15 @@
     void handleRequest(http_request message, client_call call);
     void route(std::shared_ptr<client_request> request, client_call call);
 
+    // Answers a request whose key does not permit the route.
+    void refuseUnauthorized(const client_request& request, const limpetpier::route& rule, client_call& call);
+
     // Decides whether a request with a route may start now. May answer it with a refusal, or start it later.
     void admit(accepted_request run);
+
+    // Starts a request if the limit of its workspace lets it, which other gateways may have to be asked.
+    void startWithinLimit(accepted_request run);
+    void refuseBeyondLimit(accepted_request& run, const permit_decision& decision);
     void startRequest(accepted_request run);
 
     void handleReady(client_call call);
@@ -57,6 +65,10 @@
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
     deployment_view m_view;
     rollouts m_rollouts;
+    workspace_limiter m_limiter;
+    std::shared_ptr<connection_budget> m_readinessBudget;
+    std::shared_ptr<connection_budget> m_metricsBudget;
+    std::shared_ptr<connection_budget> m_clientBudget;
     client_listener m_clientListener;
     client_listener m_readinessListener;
     std::unique_ptr<client_listener> m_metricsListener;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -31,6 +31,13 @@
     m_registry.add("limpet_parts_missing_total", { { "route", route } }, static_cast<double>(ended.missingParts));
 }
 
+void gateway_metrics::recordPermit(const permit_decision& decision)
+{
+    const auto* outcome = decision.granted ? "granted" : decision.isLimitReached ? "limit_reached"
+                                                                                 : "no_keeper";
+    m_registry.observe("limpet_permit_seconds", { { "outcome", outcome } }, std::chrono::duration<double>(decision.waited).count());
+}
+
 void gateway_metrics::recordStoreCall(const char* call, store_result result, microseconds elapsed)
 {
     m_registry.observe("limpet_store_call_seconds", { { "call", call }, { "result", toText(result) } }, std::chrono::duration<double>(elapsed).count());
@@ -63,6 +70,8 @@
 {
     m_registry.set("limpet_requests_running", static_cast<double>(values.runningRequests));
     m_registry.set("limpet_client_connections", static_cast<double>(values.clientConnections));
+    m_registry.set("limpet_client_bytes", static_cast<double>(values.clientBytes));
+    m_registry.set("limpet_clients_given_up", static_cast<double>(values.clientsGivenUp));
     m_registry.set("limpet_searchers", static_cast<double>(values.searchers));
     m_registry.set("limpet_searchers_usable", static_cast<double>(values.usableSearchers));
     m_registry.set("limpet_searcher_connections", static_cast<double>(values.searcherConnections));
@@ -70,6 +79,8 @@
     m_registry.set("limpet_table_version", static_cast<double>(values.tableVersion));
     m_registry.set("limpet_view_age_seconds", values.viewAgeSeconds);
     m_registry.set("limpet_ready", values.ready ? 1 : 0);
+    m_registry.set("limpet_workspace_limits_kept", static_cast<double>(values.limitsKept));
+    m_registry.set("limpet_requests_waiting_for_permits", static_cast<double>(values.waitingForPermits));
     m_registry.set("limpet_log_lines_left_out", static_cast<double>(logLinesLeftOut()));
     double minRemaining = values.extraSendsLeft.empty() ? 0 : values.extraSendsLeft.begin()->second;
     for (const auto& [service, remaining] : values.extraSendsLeft)
--- a/programs/gateway/searcher_fleet.h
+++ b/programs/gateway/searcher_fleet.h
@@ -8,6 +8,7 @@
 #include "limpetpier/coordination/member_share.h"
 #include "limpetpier/coordination/retry_allowance.h"
 #include "limpetpier/coordination/rollout_control.h"
+#include "limpetpier/coordination/sustained_share.h"
 #include "searcher_connection_pool.h"
 
 namespace limpetpier {
@@ -19,6 +20,9 @@
     milliseconds retryWindow { 10'000 }; // sliding window of the retry budget
     double coldFactor = 1; // multiplies the service's limit for cold searchers
     double coldSlack = 0; // requests per second to a cold searcher in addition to that
+    milliseconds limitWindow { 0 }; // over which the requests of a workspace are counted; 0 disables the limits of workspaces
+    double limitOvershoot = 0; // tolerated beyond a workspace's limit, as a share of it
+    double limitSlack = 0; // requests tolerated per window in addition to that
     rollout_limits rollout {};
 };
 
@@ -109,14 +113,16 @@
         std::unique_ptr<searcher_connection_pool> pool;
         monotonic_time removedAt;
     };
+    void applyRetryLimits(monotonic_time now);
     void updateLimits(const service_id& service, const routing_table& table, const member_share& share);
 
     asio::any_io_executor m_executor;
     const gateway_protocol& m_protocol;
     data_centre_id m_ownZone;
     deployment_limits m_deploymentLimits;
-    std::shared_ptr<receive_budget> m_receiveBudget; // of the connections to all searchers
-    double m_retrySlack = 0; // this process's share
+    std::shared_ptr<connection_budget> m_receiveBudget; // of the connections to all searchers
+    sustained_share m_retrySlackShare; // this process's part of the slack
+    double m_retrySlack = 0; // of that part, what may be used now
     std::set<data_centre_id> m_evacuated;
     std::map<searcher_id, std::unique_ptr<searcher_connection_pool>> m_pools;
     std::vector<searcher_connection_pool*> m_maintenanceOrder; // all of m_pools
--- a/src/transport/client_listener.cc
+++ b/src/transport/client_listener.cc
@@ -3,16 +3,16 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
 #include <optional>
 
+#include "limpetpier/protocol/http_request_reader.h"
+#include "limpetpier/transport/events.h"
 #include "limpetpier/transport/http_format.h"
 
 namespace limpetpier {
 
 namespace beast = boost::beast;
-namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
 namespace {
@@ -26,6 +26,12 @@
 // Interval of the checks for idle connections, incomplete requests and blocked writes.
 constexpr milliseconds sweepInterval { 500 };
 
+// Memory of a connection without messages.
+constexpr std::size_t connectionBytes = 4096;
+
+// Number of copies of a request that exist while it is executed, at most.
+constexpr std::size_t copiesOfRunningRequest = 2;
+
 // Delay before accepting again after an error such as running out of file descriptors.
 constexpr milliseconds acceptRetryDelay { 50 };
 
@@ -38,21 +44,28 @@
     return reply;
 }
 
-http_reply replyToParseError(const beast::error_code& error)
+// Not executed: the request was still incomplete.
+http_reply replyToGivenUpRequest()
 {
-    if (error == http::error::header_limit)
-        return errorReply(431, "request header exceeds the size limit; send fewer or shorter fields");
-    if (error == http::error::body_limit)
-        return errorReply(413, "request body exceeds the size limit; send a shorter body");
-    return errorReply(400, "malformed HTTP request: " + error.message());
+    auto reply = errorReply(503, "no memory or connection left for this request, which was not executed; retry it on a new connection");
+    reply.fields.push_back({ "Retry-After", "1" });
+    return reply;
+}
+
+std::string peerName(const tcp::socket& socket)
+{
+    beast::error_code error;
+    const auto endpoint = socket.remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string();
 }
 
 } // namespace
 
 class client_listener::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(const asio::any_io_executor& executor, const tcp::endpoint& endpoint, handler handle)
-        : m_acceptor(executor, endpoint)
+    implementation(const asio::any_io_executor& executor, const tcp::endpoint& endpoint, handler handle, std::shared_ptr<connection_budget> sharedBudget)
+        : budget(std::move(sharedBudget))
+        , m_acceptor(executor, endpoint)
         , m_acceptRetryTimer(executor)
         , m_sweepTimer(executor)
         , m_handle(std::move(handle))
@@ -68,6 +81,7 @@
     void stop();
     void drain();
 
+    const std::shared_ptr<connection_budget> budget;
     client_limits limits;
     bool keepAliveDisabled = false;
     bool draining = false;
@@ -91,6 +105,7 @@
         : m_socket(std::move(socket))
         , m_listener(std::move(listener))
         , m_idleLimit(m_listener->limits.idleTimeout)
+        , m_account(m_listener->budget, [this] { asio::post(m_socket.get_executor(), [weak = weak_from_this()] { giveUp(weak); }); }) // posted, as another connection may be in the middle of a read
     {
     }
 
@@ -98,7 +113,8 @@
     {
         beast::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
-        startParser();
+        startReader();
+        updateAccount();
         read();
     }
 
@@ -112,10 +128,18 @@
         m_closeAfter = reply.close || !m_keepAlive || m_listener->keepAliveDisabled;
         reply.close = m_closeAfter;
         m_output = formatReply(reply, m_isHead);
+        m_requestBytes = 0;
+        updateAccount();
         asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](const beast::error_code& error, std::size_t) { self->handleWritten(error); });
     }
 
-    void onDisconnect(std::function<void()> handler) { m_onDisconnect = std::move(handler); }
+    void onDisconnect(std::function<void()> handler)
+    {
+        if (m_state == state::closed)
+            asio::post(m_socket.get_executor(), std::move(handler));
+        else
+            m_onDisconnect = std::move(handler);
+    }
 
     [[nodiscard]] bool isIdle() const { return m_state == state::reading && !m_requestStarted; }
     [[nodiscard]] bool hasUnfinishedReply() const { return m_state == state::waiting || m_state == state::writing; }
@@ -144,6 +168,25 @@
     }
 
 private:
+    // Closes a connection that the budget revoked. An incomplete request was not executed, so its client is told to come
+    // back; nothing is sent if that would block.
+    static void giveUp(const std::weak_ptr<client_connection>& connection)
+    {
+        const auto self = connection.lock();
+        if (!self || self->m_state == state::waiting || self->m_state == state::closed)
+            return;
+        beast::error_code ignored;
+        if (self->m_state == state::reading && self->m_requestStarted) {
+            const auto text = formatReply(replyToGivenUpRequest(), false);
+            self->m_socket.non_blocking(true, ignored);
+            self->m_socket.write_some(asio::buffer(text), ignored);
+            self->m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        if (isLogged(event::client_given_up))
+            logEvent(event::client_given_up, event_fields().add("peer", self->m_peer).add("bytes", self->heldBytes()));
+        self->closeConnection();
+    }
+
     enum class state : std::uint8_t {
         reading,
         waiting,
@@ -151,12 +194,27 @@
         closed,
     };
 
-    void startParser()
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return connectionBytes + m_unparsed.capacity() + m_output.capacity() + m_requestBytes + (m_reader ? m_reader->heldBytes() : 0);
+    }
+
+    [[nodiscard]] connection_activity activity() const
+    {
+        if (m_state == state::waiting)
+            return connection_activity::running;
+        if (m_state == state::writing)
+            return connection_activity::sending;
+        if (m_requestStarted)
+            return connection_activity::receiving;
+        return m_wasUsed ? connection_activity::idle : connection_activity::unused;
+    }
+
+    void updateAccount() { m_account.update(heldBytes(), activity(), m_phaseStart, monotonic_clock::now()); }
+
+    void startReader()
     {
-        m_parser.emplace();
-        m_parser->eager(true);
-        m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits.headerBytes));
-        m_parser->body_limit(m_listener->limits.bodyBytes);
+        m_reader.emplace(http_request_reader::limits { m_listener->limits.headerBytes, m_listener->limits.bodyBytes });
         m_continueSent = false;
     }
 
@@ -183,6 +241,7 @@
         m_unparsed.append(m_buffer.data(), count);
         if (m_state == state::reading)
             parse();
+        updateAccount();
         read();
     }
 
@@ -193,27 +252,21 @@
                 m_requestStarted = true;
                 m_phaseStart = monotonic_clock::now();
             }
-            beast::error_code error;
-            const auto consumed = m_parser->put(asio::buffer(m_unparsed), error);
-            m_unparsed.erase(0, consumed);
-            if (error && error != http::error::need_more) {
-                rejectRequest(replyToParseError(error));
-                return;
-            }
-            if (m_parser->is_done()) {
-                dispatchRequest();
-                return;
-            }
-            if (m_parser->is_header_done())
+            m_unparsed.erase(0, m_reader->put(m_unparsed));
+            if (m_unparsed.empty())
+                m_unparsed = std::string(); // releases its capacity
+            if (const auto& rejection = m_reader->rejected())
+                rejectRequest(errorReply(rejection->status, rejection->reason));
+            else if (m_reader->isComplete())
+                return dispatchRequest();
+            else
                 sendContinue();
-            if (consumed == 0 || error == http::error::need_more)
-                return;
         }
     }
 
     void sendContinue()
     {
-        if (m_continueSent || m_parser->get()[http::field::expect].empty())
+        if (m_continueSent || !m_reader->expectsContinue())
             return;
         m_continueSent = true;
         static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -222,23 +275,31 @@
 
     void dispatchRequest()
     {
-        m_keepAlive = m_parser->keep_alive();
-        auto message = m_parser->release();
-        m_isHead = message.method() == http::verb::head;
+        updateAccount();
+        if (m_account.isRevoked())
+            return;
+        m_keepAlive = m_reader->keepAlive();
+        auto request = m_reader->takeRequest();
+        m_isHead = request.method == "HEAD";
         m_state = state::waiting;
         m_requestStarted = false;
-        http_request request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        for (const auto& field : message)
-            request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        request.body = std::move(message.body());
+        m_wasUsed = true;
+        m_reader.reset();
+        m_requestBytes = copiesOfRunningRequest * occupiedBytes(request);
+        if (!m_listener->budget->hasRoomToRun(heldBytes())) {
+            m_requestBytes = 0;
+            rejectRequest(replyToGivenUpRequest());
+            return;
+        }
+        updateAccount();
         m_listener->handleRequest(std::move(request), client_call(shared_from_this()));
     }
 
     void rejectRequest(http_reply reply)
     {
         m_state = state::waiting;
+        m_reader.reset();
+        m_unparsed = std::string();
         answer(std::move(reply));
     }
 
@@ -246,7 +307,7 @@
     {
         if (m_state != state::writing)
             return;
-        m_output.clear();
+        m_output = std::string();
         if (error || m_closeAfter) {
             beast::error_code ignored;
             if (!error)
@@ -258,8 +319,9 @@
         m_requestStarted = false;
         m_phaseStart = monotonic_clock::now();
         m_idleLimit = m_listener->limits.idleTimeout;
-        startParser();
+        startReader();
         parse();
+        updateAccount();
         read();
     }
 
@@ -274,10 +336,14 @@
     bool m_continueSent = false;
     bool m_readPending = false;
     monotonic_time m_phaseStart = monotonic_clock::now(); // of the idle time, request or reply that sweep() limits
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http_request_reader> m_reader;
     std::string m_unparsed;
     std::string m_output;
+    std::size_t m_requestBytes = 0; // of the request that is executed
+    bool m_wasUsed = false; // a request was complete
+    std::string m_peer = peerName(m_socket);
     std::function<void()> m_onDisconnect;
+    connection_budget::account m_account;
     std::array<char, 2048> m_buffer {};
 };
 
@@ -294,9 +360,11 @@
             });
             return;
         }
-        auto connection = std::make_shared<client_connection>(std::move(socket), self);
-        self->connections.insert(connection);
-        connection->start();
+        if (self->budget->makeRoomForConnection(monotonic_clock::now())) {
+            auto connection = std::make_shared<client_connection>(std::move(socket), self);
+            self->connections.insert(connection);
+            connection->start();
+        }
         self->accept();
     });
 }
@@ -337,8 +405,8 @@
 void client_call::answer(http_reply reply) { m_connection->answer(std::move(reply)); }
 void client_call::onDisconnect(std::function<void()> handler) { m_connection->onDisconnect(std::move(handler)); }
 
-client_listener::client_listener(asio::any_io_executor executor, const tcp::endpoint& endpoint, handler handle)
-    : m_implementation(std::make_shared<implementation>(executor, endpoint, std::move(handle)))
+client_listener::client_listener(asio::any_io_executor executor, const tcp::endpoint& endpoint, handler handle, std::shared_ptr<connection_budget> budget)
+    : m_implementation(std::make_shared<implementation>(executor, endpoint, std::move(handle), std::move(budget)))
 {
     m_implementation->start();
 }
--- a/src/transport/http.cc
+++ b/src/transport/http.cc
@@ -5,8 +5,13 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
+#include <optional>
 #include <set>
 
+#include "limpetpier/coordination/connection_budget.h"
+#include "limpetpier/protocol/http_request_reader.h"
+#include "limpetpier/transport/http_format.h"
+
 namespace limpetpier {
 
 namespace beast = boost::beast;
@@ -21,7 +26,20 @@
 constexpr std::size_t maxReceivedBytes = maxReplyBytes + (1U << 20);
 constexpr std::size_t maxUnparsedBytes = 64U << 10;
 
-// Size of one read of a reply.
+// Memory of a connection without messages, and number of copies of a running request and of a reply.
+constexpr std::size_t connectionBytes = 8192;
+constexpr std::size_t copiesOfRunningRequest = 2;
+constexpr std::size_t copiesOfReply = 2;
+
+// Delay before accepting again after an error such as running out of file descriptors.
+constexpr milliseconds acceptRetryDelay { 50 };
+
+// Maximum number of interim replies before a final one.
+constexpr unsigned maxInterimReplies = 16;
+constexpr unsigned firstFinalStatus = 200;
+
+// Size of one read of a request and of a reply.
+constexpr std::size_t requestReadBytes = 4U << 10;
 constexpr std::size_t readBytes = 8U << 10;
 
 template <typename Message>
@@ -42,15 +60,12 @@
     return reply;
 }
 
-http_reply replyToReadError(const beast::error_code& error, const http_limits& limits)
+// Not executed: the request was still incomplete.
+http_reply replyToGivenUpRequest()
 {
-    if (error == http::error::header_limit)
-        return errorReply(431, "request header exceeds the limit of " + std::to_string(limits.headerBytes) + " bytes; send fewer or shorter fields");
-    if (error == http::error::body_limit)
-        return errorReply(413, "request body exceeds the limit of " + std::to_string(limits.bodyBytes) + " bytes; send a shorter body");
-    if (error == asio::error::operation_aborted)
-        return errorReply(408, "request still incomplete after " + std::to_string(limits.requestTimeout.count()) + " ms; send the complete request in time");
-    return errorReply(400, "malformed HTTP request: " + error.message());
+    auto reply = errorReply(503, "no memory or connection left for this request, which was not executed; retry it on a new connection");
+    reply.fields.push_back({ "Retry-After", "1" });
+    return reply;
 }
 
 } // namespace
@@ -61,6 +76,7 @@
         : m_acceptor(asio::make_strand(executor), endpoint)
         , m_executor(std::move(executor))
         , m_limits(limits)
+        , m_budget(std::make_shared<connection_budget>(connection_budget::limits { limits.totalBytes, limits.maxOpen }))
         , m_handle(std::move(handle))
     {
     }
@@ -83,8 +99,8 @@
     void resetStreams()
     {
         const std::lock_guard lock(m_mutex);
-        for (auto* stream : m_streams)
-            asio::post(stream->get_executor(), [self = shared_from_this(), stream] { self->resetIfRegistered(stream); });
+        for (auto* open : m_connections)
+            asio::post(open->stream.get_executor(), [self = shared_from_this(), open] { self->resetIfRegistered(open); });
     }
 
     std::atomic<std::int64_t> acceptDelayMs { 0 };
@@ -92,18 +108,49 @@
     [[nodiscard]] std::size_t connections() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_streams.size();
+        return m_connections.size();
     }
 
 private:
+    // An open connection. Used on its strand.
+    struct connection {
+        connection(tcp::socket socket, implementation& server)
+            : stream(std::move(socket))
+            , id(++server.m_lastConnection)
+            , account(server.m_budget, [this, &server] { server.giveUpLater(this); })
+        {
+        }
+
+        void update(std::size_t bytes, connection_activity next)
+        {
+            const auto now = monotonic_clock::now();
+            if (next != activity)
+                since = now;
+            activity = next;
+            account.update(connectionBytes + bytes, activity, since, now);
+        }
+
+        beast::tcp_stream stream;
+        std::uint64_t id; // an address can be used again
+        connection_activity activity = connection_activity::unused;
+        monotonic_time since = monotonic_clock::now();
+        connection_budget::account account;
+    };
+
     awaitable<void> acceptLoop()
     {
+        asio::steady_timer retryTimer(m_acceptor.get_executor());
         while (!m_draining) {
             beast::error_code error;
             auto socket = co_await m_acceptor.async_accept(asio::make_strand(m_executor), asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted || m_draining)
                 co_return;
-            if (error)
+            if (error) {
+                retryTimer.expires_after(acceptRetryDelay);
+                co_await retryTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                continue;
+            }
+            if (!m_budget->makeRoomForConnection(monotonic_clock::now()))
                 continue;
             const auto strand = socket.get_executor();
             asio::co_spawn(
@@ -113,8 +160,9 @@
 
     awaitable<void> serve(tcp::socket socket)
     {
-        beast::tcp_stream stream(std::move(socket));
-        if (!registerStream(&stream))
+        connection open(std::move(socket), *this);
+        auto& stream = open.stream;
+        if (!registerConnection(&open))
             co_return;
         try {
             beast::error_code ignored;
@@ -123,56 +171,80 @@
                 asio::steady_timer timer(stream.get_executor(), milliseconds(delay));
                 co_await timer.async_wait(asio::use_awaitable);
             }
-            co_await serveRequests(stream);
+            co_await serveRequests(open);
         } catch (const std::exception&) {
             // The client disconnected or the handler threw. The connection is closed without a reply.
         }
-        unregisterStream(&stream);
+        unregisterConnection(&open);
     }
 
-    awaitable<void> serveRequests(beast::tcp_stream& stream)
+    awaitable<void> serveRequests(connection& client)
     {
-        // Bounds the memory that one connection can occupy to one request.
-        beast::flat_buffer buffer(m_limits.headerBytes + m_limits.bodyBytes + 1024);
+        auto& stream = client.stream;
+        beast::flat_buffer buffer(requestReadBytes);
         bool open = true;
         while (open) {
             if (buffer.size() == 0 && !co_await waitForFirstByte(stream, buffer))
                 co_return;
-            http::request_parser<http::string_body> parser;
-            parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-            parser.body_limit(m_limits.bodyBytes);
-            beast::error_code error;
-            co_await readRequest(stream, buffer, parser, error);
-            if (error == http::error::end_of_stream)
+            http_request_reader reader(http_request_reader::limits { m_limits.headerBytes, m_limits.bodyBytes });
+            bool timedOut = false;
+            if (!co_await readRequest(client, buffer, reader, timedOut) || client.account.isRevoked())
                 co_return;
             http_reply reply;
             bool keepAlive = false;
-            if (error) {
-                reply = replyToReadError(error, m_limits);
+            if (timedOut) {
+                reply = errorReply(408, "request still incomplete after " + std::to_string(m_limits.requestTimeout.count()) + " ms; send the complete request in time");
+            } else if (const auto& rejection = reader.rejected()) {
+                reply = errorReply(rejection->status, rejection->reason);
             } else {
-                keepAlive = parser.get().keep_alive();
-                reply = co_await m_handle(toHttpRequest(parser.release()));
+                keepAlive = reader.keepAlive();
+                auto request = reader.takeRequest();
+                client.update(copiesOfRunningRequest * occupiedBytes(request), connection_activity::running);
+                reply = co_await m_handle(std::move(request));
             }
+            client.update(copiesOfReply * reply.body.size(), connection_activity::sending);
             open = keepAlive && !reply.close && !m_draining;
             co_await write(stream, reply, open);
+            client.update(0, connection_activity::idle);
         }
         beast::error_code ignored;
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
-    // Reads one request. The request timeout cancels only the read instead of closing the stream, so that 408 can be
-    // sent.
-    awaitable<void> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser, beast::error_code& error)
+    // Reads one request. False if the connection ended before. The request timeout cancels only the read instead of closing
+    // the stream, so that 408 can be sent.
+    awaitable<bool> readRequest(connection& client, beast::flat_buffer& buffer, http_request_reader& reader, bool& timedOut)
     {
+        static const std::string interimReply = "HTTP/1.1 100 Continue\r\n\r\n";
+        bool continueSent = false;
+        auto& stream = client.stream;
         stream.expires_never();
         asio::steady_timer timer(stream.get_executor(), m_limits.requestTimeout);
-        timer.async_wait([&stream](const beast::error_code& cancelled) {
-            if (!cancelled)
-                stream.socket().cancel();
+        timer.async_wait([&stream, &timedOut](const beast::error_code& cancelled) {
+            if (cancelled)
+                return;
+            timedOut = true;
+            stream.socket().cancel();
         });
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (timer.cancel() == 0 && !error)
+        beast::error_code error;
+        for (;;) {
+            const auto received = buffer.data();
+            buffer.consume(reader.put({ static_cast<const char*>(received.data()), received.size() }));
+            client.update(buffer.capacity() + reader.heldBytes(), connection_activity::receiving);
+            if (error || timedOut || client.account.isRevoked() || reader.isComplete() || reader.rejected())
+                break;
+            if (reader.expectsContinue() && !continueSent) {
+                continueSent = true;
+                co_await asio::async_write(stream, asio::buffer(interimReply), asio::redirect_error(asio::use_awaitable, error));
+                if (error)
+                    continue; // ends the loop
+            }
+            const auto count = co_await stream.async_read_some(buffer.prepare(requestReadBytes), asio::redirect_error(asio::use_awaitable, error));
+            buffer.commit(count);
+        }
+        if (timer.cancel() == 0 && !timedOut)
             co_await asio::post(stream.get_executor(), asio::use_awaitable); // lets the queued timer handler run first
+        co_return !client.account.isRevoked() && (timedOut || reader.isComplete() || reader.rejected().has_value());
     }
 
     // Waits for the next request within the idle timeout. False if the client closed the connection or the timeout
@@ -181,21 +253,11 @@
     {
         beast::error_code error;
         stream.expires_after(m_limits.idleTimeout);
-        const auto count = co_await stream.async_read_some(buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+        const auto count = co_await stream.async_read_some(buffer.prepare(requestReadBytes), asio::redirect_error(asio::use_awaitable, error));
         buffer.commit(count);
         co_return !error;
     }
 
-    static http_request toHttpRequest(http::request<http::string_body> message)
-    {
-        http_request request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        request.fields = copyFields(message);
-        request.body = std::move(message.body());
-        return request;
-    }
-
     static awaitable<void> write(beast::tcp_stream& stream, const http_reply& reply, bool keepAlive)
     {
         http::response<http::string_body> message(static_cast<http::status>(reply.status), 11);
@@ -209,38 +271,72 @@
         co_await http::async_write(stream, message, asio::use_awaitable);
     }
 
-    bool registerStream(beast::tcp_stream* stream)
+    bool registerConnection(connection* opened)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_streams.size() >= m_limits.connections)
+        if (m_connections.size() >= m_limits.connections)
             return false;
-        m_streams.insert(stream);
+        m_connections.insert(opened);
         return true;
     }
 
-    void unregisterStream(beast::tcp_stream* stream)
+    void unregisterConnection(connection* closed)
     {
         const std::lock_guard lock(m_mutex);
-        m_streams.erase(stream);
+        m_connections.erase(closed);
     }
 
-    void resetIfRegistered(beast::tcp_stream* stream)
+    void resetIfRegistered(connection* open)
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_streams.contains(stream))
+        if (!m_connections.contains(open))
             return;
         beast::error_code ignored;
-        stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
-        stream->socket().close(ignored);
+        open->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        open->stream.socket().close(ignored);
+    }
+
+    // Called by the budget on any thread.
+    void giveUpLater(connection* revoked)
+    {
+        asio::post(revoked->stream.get_executor(), [self = shared_from_this(), revoked, id = revoked->id] {
+            if (self->isRegistered(revoked, id))
+                giveUp(*revoked);
+        });
+    }
+
+    bool isRegistered(connection* open, std::uint64_t id)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_connections.contains(open) && open->id == id;
+    }
+
+    // Closes a connection that the budget revoked, unless its request is executed by now. An incomplete request was not
+    // executed, so its client is told to come back; nothing is sent if that would block.
+    static void giveUp(connection& revoked)
+    {
+        if (revoked.activity == connection_activity::running)
+            return;
+        auto& socket = revoked.stream.socket();
+        beast::error_code ignored;
+        if (revoked.activity == connection_activity::receiving) {
+            const auto text = formatReply(replyToGivenUpRequest(), false);
+            socket.non_blocking(true, ignored);
+            socket.write_some(asio::buffer(text), ignored);
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        socket.close(ignored);
     }
 
     tcp::acceptor m_acceptor;
     asio::any_io_executor m_executor;
     http_limits m_limits;
+    std::shared_ptr<connection_budget> m_budget;
     handler m_handle;
     std::atomic<bool> m_draining { false };
     mutable std::mutex m_mutex;
-    std::set<beast::tcp_stream*> m_streams;
+    std::atomic<std::uint64_t> m_lastConnection { 0 };
+    std::set<connection*> m_connections;
 };
 
 http_server::http_server(asio::any_io_executor executor, const tcp::endpoint& endpoint, http_limits limits, handler handle)
@@ -262,10 +358,11 @@
     {
     }
 
-    // Reads one reply. Fails if it exceeds a limit.
+    // Reads one interim or final reply. Fails if it exceeds a limit or is not a valid reply.
     awaitable<beast::error_code> read(http::response_parser<http::string_body>& parser)
     {
         std::size_t received = 0;
+        bool headChecked = false;
         parser.eager(true);
         parser.body_limit(maxReplyBytes);
         for (;;) {
@@ -274,6 +371,11 @@
                 buffer.consume(parser.put(buffer.data(), error));
             if (error == http::error::need_more)
                 error = {};
+            if (!error && !headChecked && parser.is_header_done()) {
+                headChecked = true;
+                if (!isValidReplyHead(parser.get().result_int(), copyFields(parser.get()), parser.get().version() % 10))
+                    co_return http::error::bad_status;
+            }
             if (error || parser.is_done())
                 co_return error;
             if (buffer.size() + readBytes > maxUnparsedBytes || received > maxReceivedBytes)
@@ -318,6 +420,11 @@
     auto& stream = m_implementation->stream;
     if (!m_implementation->open)
         co_return result;
+    beast::error_code error;
+    if (m_implementation->buffer.size() > 0 || stream.socket().available(error) > 0) {
+        close(); // received before the request was sent, so it can't be a reply to it
+        co_return result;
+    }
 
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
     message.set(http::field::host, "target");
@@ -327,7 +434,6 @@
     message.body() = std::move(request.body);
     message.prepare_payload();
 
-    beast::error_code error;
     stream.expires_after(timeout);
     const auto written = co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
     result.stage = written > 0 ? exchange_stage::no_reply : exchange_stage::not_written;
@@ -335,14 +441,17 @@
         close();
         co_return result;
     }
-    http::response_parser<http::string_body> parser;
-    error = co_await m_implementation->read(parser);
-    if (error) {
-        close();
-        co_return result;
+    std::optional<http::response_parser<http::string_body>> parser;
+    for (unsigned interimReplies = 0; !parser || parser->get().result_int() < firstFinalStatus; ++interimReplies) {
+        parser.emplace();
+        error = co_await m_implementation->read(*parser);
+        if (error || interimReplies > maxInterimReplies) {
+            close();
+            co_return result;
+        }
     }
     result.stage = exchange_stage::replied;
-    auto reply = parser.release();
+    auto reply = parser->release();
     result.reply.status = reply.result_int();
     result.reply.fields = copyFields(reply);
     result.reply.body = std::move(reply.body());
--- a/test/node_settings_test.cc
+++ b/test/node_settings_test.cc
@@ -86,6 +86,17 @@
     CHECK(errorFor(text).find("platform.address: found nothing") != std::string::npos);
 }
 
+TEST_CASE("Bounds for the limits of workspaces are read where the platform sets them")
+{
+    CHECK(readText(sample).limitWindow == milliseconds(0));
+    auto text = std::string(sample);
+    text.insert(text.find("coldSlack"), "quotaWindowS = 5\nquotaOvershoot = 0.1\nquotaSlack = 20\n");
+    const auto settings = readText(text);
+    CHECK(settings.limitWindow == milliseconds(5000));
+    CHECK(settings.limitOvershoot == 0.1);
+    CHECK(settings.limitSlack == 20);
+}
+
 TEST_CASE("Reading a missing settings file throws settings_error")
 {
     CHECK_THROWS_AS(platform::readNodeSettings("nowhere.toml"), settings_error);
@@ -106,3 +117,13 @@
     CHECK(settings.rollbackBound == milliseconds(5000));
     CHECK(errorFor(withBounds("exposeShare = \"much\"\n")).find("bounds.exposeShare") != std::string::npos);
 }
+
+TEST_CASE("The limits of the machine are read if they are stated")
+{
+    CHECK(readText(sample).memoryBytes == 0);
+    CHECK(readText(sample).maxFiles == 0);
+    const auto settings = readText(sample + "[limits]\nmemoryMb = 160\nmaxFds = 4100\n");
+    CHECK(settings.memoryBytes == 160U << 20U);
+    CHECK(settings.maxFiles == 4100);
+    CHECK(errorFor(sample + "[limits]\nmemoryMb = \"much\"\n").find("limits.memoryMb") != std::string::npos);
+}
--- a/test/rollout_gateway_test.cc
+++ b/test/rollout_gateway_test.cc
@@ -25,7 +25,7 @@
     explicit rollout_fixture(bool withSecond = false)
     {
         settings.changeBatchDelay = milliseconds(100);
-        settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, coldSlack, { 0.1, 50, milliseconds(300), milliseconds(700) } };
+        settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, coldSlack, milliseconds(0), 0, 0, { 0.1, 50, milliseconds(300), milliseconds(700) } };
         settings.stopGrace = milliseconds(1500);
         settings.metricsAddress = freeAddress();
         settings.membershipTiming.renewalInterval = milliseconds(200);
