Roll-outs: the live version stays after the next order, slow versions are found at low rates, the batch delay is short only while one is active

Cause: whether an order had ended was decided after the next order's status had replaced its own, so the version that succeeded was excluded. Answers of the target version counted as good before a process knew a median, which at 84 processes and 8 requests a second is most of the time budget. rollbackMs shortened the batch delay of all changes, always. Change: the end of an order is kept until the next one, and a status that answers the new order says what is excluded. Reports carry the median of the other versions' replies; a process with fewer than five takes it from all reports, and without one only failures of the target version count. rolloutBatchDelay holds from the read of an order to its end. Counts are folded and reports and reply times dropped at the end. Tests with gateways: sections that can share one roll-out do, with all checks.

--- a/include/limpetpier/coordination/rollout_control.h
+++ b/include/limpetpier/coordination/rollout_control.h
@@ -78,7 +78,8 @@
     void recordSend(const software_version& version);
     void recordUnsent(const software_version& version);
 
-    // Records a searcher's answer. The time of a cold searcher's answer does not count against its version.
+    // Records a searcher's answer. The time of a cold searcher's answer does not count against its version. Without known
+    // times of the other versions, only a failure says something of the target version.
     void recordAnswer(const software_version& version, const std::string& route, bool failed, microseconds elapsed, bool cold);
 
     // Records a call that was given up without an answer after this time.
@@ -123,6 +124,7 @@
     [[nodiscard]] monotonic_time proofDue() const;
     [[nodiscard]] monotonic_time decisionDue() const;
     [[nodiscard]] bool isProved(monotonic_time now) const;
+    [[nodiscard]] std::optional<microseconds> medianReplyTime(const std::string& route) const;
     [[nodiscard]] bool isSlow(const std::string& route, microseconds elapsed) const;
     [[nodiscard]] std::optional<rollout_status> nextStatus(monotonic_time now, std::int64_t wallClockMs) const;
     [[nodiscard]] std::vector<software_version> otherVersions() const;
@@ -132,6 +134,7 @@
     std::optional<rollout_order> m_order;
     std::optional<rollout_status> m_status;
     std::optional<rollout_status> m_success; // of the latest roll-out, also after its status is gone from the store
+    bool m_orderEnded = false; // the order had a final status, which a later order's may have replaced
     monotonic_time m_startedAt {}; // of the order
     monotonic_time m_phaseSince {}; // when the stored phase was first seen
     std::set<software_version> m_abandoned; // targets of earlier orders without a result
--- a/include/limpetpier/state/rollout.h
+++ b/include/limpetpier/state/rollout.h
@@ -63,6 +63,7 @@
     std::uint64_t otherBad = 0;
     std::uint64_t targetAnswers = 0;
     std::uint64_t targetBad = 0;
+    std::uint64_t otherMedianUs = 0; // of one process's replies of the other versions; 0 if unknown
 
     bool operator==(const route_evidence&) const = default;
 };
--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -41,6 +41,9 @@
     // Starts reading.
     void start();
 
+    // Sets the time from changes to the next watch, also for the changes that are being delivered.
+    void setBatchDelay(milliseconds delay) { m_policy.batchDelay = delay; }
+
     // Reports that another call to the store, sent at the given time, failed. A pending watch does not notice an outage;
     // this marks the store as unreachable, so that the next answer counts as the end of the outage.
     void reportCallFailed(monotonic_time sentAt) { markUnreachable(sentAt); }
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -181,6 +181,8 @@
         else
             m_rolloutItems[item.key] = item;
         m_changes.rollouts = true;
+        if (!item.removed && item.key.starts_with(m_protocol.rolloutOrderPrefix()))
+            setRolloutActive(true); // before the delay that follows this change
     } else if (item.key.starts_with(m_protocol.operatorPrefix()))
         applyOperator(item);
     else if (item.key.starts_with(m_protocol.searcherPrefix()))
@@ -191,6 +193,12 @@
     }
 }
 
+void deployment_view::setRolloutActive(bool active)
+{
+    const bool isShorter = active && m_settings.rolloutBatchDelay.count() > 0 && m_settings.rolloutBatchDelay < m_settings.changeBatchDelay;
+    m_storeFollower.setBatchDelay(isShorter ? m_settings.rolloutBatchDelay : m_settings.changeBatchDelay);
+}
+
 bool deployment_view::isRolloutKey(const std::string& key) const
 {
     return key.starts_with(m_protocol.rolloutOrderPrefix()) || key.starts_with(m_protocol.rolloutStatusPrefix()) || key.starts_with(rolloutReportPrefix);
--- a/programs/gateway/deployment_view.h
+++ b/programs/gateway/deployment_view.h
@@ -43,6 +43,9 @@
     // Stored orders, states and reports of roll-outs, by key.
     [[nodiscard]] const std::map<std::string, store_item>& rolloutItems() const { return m_rolloutItems; }
 
+    // Sets whether a roll-out is active; its changes are read sooner.
+    void setRolloutActive(bool active);
+
     // Prefix of the keys under which gateways report what they saw in a roll-out.
     static constexpr const char* rolloutReportPrefix = "limpetpier/rollouts/";
 
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -337,6 +337,7 @@
     m_limiter.maintain(m_view.lastStoreContact(), now);
     refreshFleet();
     m_rollouts.maintain(m_view, now);
+    m_view.setRolloutActive(m_rollouts.isAnyActive());
     m_fleet.maintain(now);
     flushLog();
     m_maintenanceTimer.expires_after(maintenanceInterval);
--- a/programs/gateway/gateway_settings.h
+++ b/programs/gateway/gateway_settings.h
@@ -24,6 +24,7 @@
     milliseconds stopGrace { 6000 }; // from the termination signal to the forced exit
     membership_timing membershipTiming;
     milliseconds changeBatchDelay { 700 }; // changes in the store are collected for this long and read in one call
+    milliseconds rolloutBatchDelay { 0 }; // the same while a roll-out is active, if that is shorter; 0 disables it
     milliseconds minExpiryOutage { 800 }; // shortest outage of the store in which the entry of a live searcher can expire
     milliseconds memberSettleTime { 800 }; // at startup, the member list is complete after this long without a change
 };
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -77,8 +77,7 @@
         settings.seeds.push_back(host + ":" + std::to_string(node.firstPeerPort));
     settings.bounds = { node.retryShare, node.retrySlack, node.retryWindow, node.coldFactor, node.coldSlack, node.limitWindow, node.limitOvershoot, node.limitSlack };
     settings.changeBatchDelay = std::min(node.drainBound, node.configApplyBound) * changeBatchPercent / 100;
-    if (node.rollbackBound > milliseconds(0))
-        settings.changeBatchDelay = std::min(settings.changeBatchDelay, node.rollbackBound * changeBatchPercent / 100);
+    settings.rolloutBatchDelay = node.rollbackBound * changeBatchPercent / 100;
     settings.bounds.rollout.exposedShare = node.exposeShare;
     settings.bounds.rollout.exposedSlack = node.exposeSlack;
     settings.bounds.rollout.noticeDelay = settings.changeBatchDelay + storeTimeout;
--- a/programs/gateway/rollouts.cc
+++ b/programs/gateway/rollouts.cc
@@ -41,7 +41,7 @@
     std::ostringstream text;
     text << report.order << ' ' << report.grant << ' ' << report.sent << ' ' << report.exposed << '\n';
     for (const auto& [route, seen] : report.routes)
-        text << seen.otherAnswers << ' ' << seen.otherBad << ' ' << seen.targetAnswers << ' ' << seen.targetBad << ' ' << route << '\n';
+        text << seen.otherAnswers << ' ' << seen.otherBad << ' ' << seen.targetAnswers << ' ' << seen.targetBad << ' ' << seen.otherMedianUs << ' ' << route << '\n';
     return text.str();
 }
 
@@ -53,7 +53,7 @@
     if (!(text >> report.order >> report.grant >> report.sent >> report.exposed) || !(report.grant >= 0) || report.exposed > report.sent)
         return {};
     route_evidence seen;
-    while (text >> seen.otherAnswers >> seen.otherBad >> seen.targetAnswers >> seen.targetBad) {
+    while (text >> seen.otherAnswers >> seen.otherBad >> seen.targetAnswers >> seen.targetBad >> seen.otherMedianUs) {
         std::string route;
         text.get();
         std::getline(text, route);
@@ -334,6 +334,12 @@
         m_store.writeIf({}, removals, [](store_result) {}); // retried until the items are gone
 }
 
+bool rollouts::isAnyActive() const
+{
+    const auto& controls = std::as_const(m_fleet).rollouts();
+    return std::any_of(controls.begin(), controls.end(), [](const auto& entry) { return entry.second.isActive(); });
+}
+
 std::vector<rollouts::row> rollouts::rows() const
 {
     std::vector<row> result;
--- a/programs/gateway/rollouts.h
+++ b/programs/gateway/rollouts.h
@@ -21,6 +21,9 @@
     // Evaluates the roll-outs and stores what is due. Call it about every 100 ms.
     void maintain(const deployment_view& view, monotonic_time now);
 
+    // Returns true while a service has an order without a final status.
+    [[nodiscard]] bool isAnyActive() const;
+
     // State of one roll-out, for metrics.
     struct row {
         service_id service;
--- a/src/coordination/rollout_control.cc
+++ b/src/coordination/rollout_control.cc
@@ -64,7 +64,7 @@
 
 route_evidence operator-(const route_evidence& left, const route_evidence& right)
 {
-    return { left.otherAnswers - right.otherAnswers, left.otherBad - right.otherBad, left.targetAnswers - right.targetAnswers, left.targetBad - right.targetBad };
+    return { left.otherAnswers - right.otherAnswers, left.otherBad - right.otherBad, left.targetAnswers - right.targetAnswers, left.targetBad - right.targetBad, 0 };
 }
 
 void add(std::map<std::string, route_evidence>& sums, const rollout_report& report)
@@ -116,9 +116,12 @@
 {
     if (order == m_order)
         return;
-    if (m_order && !isFinal())
-        m_abandoned.insert(m_order->target);
+    const auto replaced = m_order && !m_orderEnded && !isFinal() ? m_order : std::nullopt;
     m_order = order;
+    m_orderEnded = false;
+    // A status that answers the new order already lists the versions that stay excluded.
+    if (replaced && !answersOrder())
+        m_abandoned.insert(replaced->target);
     m_own = {};
     m_reports.clear();
     m_replyTimes.clear();
@@ -148,16 +151,25 @@
 {
     if (!m_status || !status || m_status->phase != status->phase || m_status->order != status->order)
         m_phaseSince = now;
+    m_orderEnded = m_orderEnded || isFinal();
+    auto sums = totals();
     m_status = status;
     if (m_status && m_status->phase == rollout_phase::succeeded)
         m_success = m_status;
     else if (m_status)
         m_success.reset();
+    if (!isFinal())
+        return;
+    m_totals = std::move(sums); // all that is kept of the counts
+    m_reports.clear();
+    m_replyTimes.clear();
+    if (m_history.size() > 1)
+        m_history.erase(m_history.begin() + 1, m_history.end());
 }
 
 void rollout_control::setReport(const node_id& node, const rollout_report& report)
 {
-    if (!m_order || report.order != m_order->revision)
+    if (!isActive() || report.order != m_order->revision)
         return;
     auto& known = m_reports[node];
     for (const auto& [route, seen] : report.routes) {
@@ -231,15 +243,42 @@
         --m_own.exposed;
 }
 
+// Returns the median time of the other versions' replies on a route: by this process's own replies or, while they are
+// few, also by the medians that the other processes report.
+std::optional<microseconds> rollout_control::medianReplyTime(const std::string& route) const
+{
+    std::map<microseconds, std::uint64_t> weights; // replies by their time
+    std::uint64_t replies = 0;
+    if (const auto own = m_replyTimes.find(route); own != m_replyTimes.end()) {
+        replies = own->second.size();
+        for (const auto time : own->second)
+            ++weights[time];
+    }
+    if (replies < minReplyTimes) {
+        for (const auto& [node, report] : m_reports) {
+            const auto seen = report.routes.find(route);
+            if (seen == report.routes.end() || seen->second.otherMedianUs == 0)
+                continue;
+            const auto weight = std::clamp<std::uint64_t>(seen->second.otherAnswers, 1, maxReplyTimes);
+            weights[microseconds(seen->second.otherMedianUs)] += weight;
+            replies += weight;
+        }
+    }
+    if (replies < minReplyTimes)
+        return {};
+    std::uint64_t below = 0;
+    for (const auto& [time, weight] : weights) {
+        below += weight;
+        if (below > replies / 2)
+            return time;
+    }
+    return {};
+}
+
 bool rollout_control::isSlow(const std::string& route, microseconds elapsed) const
 {
-    const auto found = m_replyTimes.find(route);
-    if (found == m_replyTimes.end() || found->second.size() < minReplyTimes)
-        return false;
-    std::vector<microseconds> times(found->second.begin(), found->second.end());
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), middle, times.end());
-    return elapsed > *middle * slowFactor;
+    const auto median = medianReplyTime(route);
+    return median && elapsed > *median * slowFactor;
 }
 
 void rollout_control::recordReplyTime(const std::string& route, microseconds elapsed)
@@ -248,12 +287,18 @@
     times.push_back(elapsed);
     if (times.size() > maxReplyTimes)
         times.pop_front();
+    std::vector<microseconds> sorted(times.begin(), times.end());
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    m_own.routes[route].otherMedianUs = static_cast<std::uint64_t>(middle->count());
 }
 
 void rollout_control::recordAnswer(const software_version& version, const std::string& route, bool failed, microseconds elapsed, bool cold)
 {
     if (!isActive())
         return;
+    if (version == m_order->target && !failed && !medianReplyTime(route))
+        return;
     const bool bad = failed || (!cold && isSlow(route, elapsed));
     auto& seen = m_own.routes[route];
     if (version == m_order->target) {
@@ -276,6 +321,8 @@
 
 std::map<std::string, route_evidence> rollout_control::totals() const
 {
+    if (isFinal())
+        return m_totals;
     std::map<std::string, route_evidence> result;
     add(result, m_own);
     for (const auto& [node, report] : m_reports)
--- a/test/rollout_control_test.cc
+++ b/test/rollout_control_test.cc
@@ -95,6 +95,7 @@
         }
     }
 
+    [[nodiscard]] const rollout_control& control(std::size_t index) const { return *m_processes[index].control; }
     [[nodiscard]] const std::optional<rollout_status>& status() const { return m_status; }
     [[nodiscard]] std::uint64_t exposed() const { return m_exposed; }
     [[nodiscard]] double exposureBound() const { return limits.exposedShare * static_cast<double>(m_sentSinceOrder) + limits.exposedSlack; }
@@ -460,6 +461,89 @@
     CHECK(model.sendsTo(newVersion) == before);
 }
 
+TEST_CASE("An order after a finished roll-out leaves the live version in use")
+{
+    deployment_model model(4, 5);
+    model.order(newVersion, budget);
+    model.run(budget);
+    REQUIRE(phaseOf(model) == rollout_phase::succeeded);
+    model.run(milliseconds(GENERATE(0, 300, 500, 800))); // so that orders meet the processes' reads differently
+    const auto next = GENERATE(laterVersion, oldVersion);
+    const bool bad = GENERATE(false, true);
+    if (bad)
+        model.setQuality({ 0.5, 0, 5, milliseconds(0), "", 0 });
+    model.order(next, budget);
+
+    for (milliseconds passed { 0 }; passed < budget; passed += milliseconds(1000)) {
+        const auto before = model.sendsTo(newVersion);
+        model.run(milliseconds(1000));
+        REQUIRE(model.status());
+        if (phaseOf(model) == rollout_phase::succeeded && model.status()->target == next)
+            break;
+        const auto& excluded = model.status()->excluded;
+        CHECK(std::find(excluded.begin(), excluded.end(), newVersion) == excluded.end());
+        for (std::size_t index = 0; index < 4; ++index)
+            CHECK(model.control(index).use(newVersion) != rollout_control::version_use::none);
+        if (phaseOf(model) != rollout_phase::switching)
+            CHECK(model.sendsTo(newVersion) > before);
+    }
+    CHECK(model.status()->target == next);
+    CHECK(phaseOf(model) == (bad ? rollout_phase::rolled_back : rollout_phase::succeeded));
+}
+
+TEST_CASE("A final status is known although the next order's came in the same batch")
+{
+    rollout_control control(limits);
+    control.setOrder(rollout_order { newVersion, budget, 11 }, { start, startWallMs, 1, 0, false });
+    const bool knewResult = GENERATE(true, false);
+    if (knewResult)
+        control.setStatus(rollout_status { rollout_phase::succeeded, newVersion, 11, startWallMs, { oldVersion } }, start);
+    control.setStatus(rollout_status { rollout_phase::running, laterVersion, 13, startWallMs, { oldVersion } }, start);
+    control.setOrder(rollout_order { laterVersion, budget, 13 }, { start, startWallMs, 1, 0, false });
+    CHECK(control.use(newVersion) == rollout_control::version_use::free);
+    CHECK(control.use(oldVersion) == rollout_control::version_use::none);
+    CHECK(control.use(laterVersion) == rollout_control::version_use::limited);
+}
+
+TEST_CASE("The counts of a finished roll-out stay")
+{
+    deployment_model model(4, 5);
+    model.order(newVersion, budget);
+    model.run(budget);
+    REQUIRE(phaseOf(model) == rollout_phase::succeeded);
+    model.run(milliseconds(1000));
+    const auto before = model.control(0).totals();
+    REQUIRE(before.contains("common"));
+    CHECK(before.at("common").targetAnswers > 0);
+    CHECK(before.at("common").otherAnswers > 0);
+    model.run(milliseconds(5000));
+    CHECK(model.control(0).totals() == before);
+}
+
+TEST_CASE("A slow version goes back also if each process sees few requests")
+{
+    deployment_model model(84, 13);
+    model.setRate(8);
+    version_quality quality;
+    quality.slow = GENERATE(1.0, 0.4);
+    model.setQuality(quality);
+    model.run(milliseconds(2000));
+    model.order(newVersion, budget);
+    model.run(budget);
+    CHECK(phaseOf(model) == rollout_phase::rolled_back);
+    CHECK(static_cast<double>(model.exposed()) <= model.exposureBound());
+}
+
+TEST_CASE("A good version is rolled out also if each process sees few requests")
+{
+    deployment_model model(84, 13);
+    model.setRate(8);
+    model.run(milliseconds(2000));
+    model.order(newVersion, budget);
+    model.run(budget);
+    CHECK(phaseOf(model) == rollout_phase::succeeded);
+}
+
 TEST_CASE("A withdrawn order goes back")
 {
     deployment_model model(4, 5);
--- a/test/rollout_gateway_test.cc
+++ b/test/rollout_gateway_test.cc
@@ -22,9 +22,10 @@
 // Gateway with two searchers of version v1 of service "a".
 class rollout_fixture : public standins::gateway_fixture {
 public:
-    explicit rollout_fixture(bool withSecond = false)
+    explicit rollout_fixture(bool withSecond = false, milliseconds batchDelay = milliseconds(100))
     {
-        settings.changeBatchDelay = milliseconds(100);
+        settings.changeBatchDelay = batchDelay;
+        settings.rolloutBatchDelay = milliseconds(100);
         settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, coldSlack, milliseconds(0), 0, 0, { 0.1, 50, milliseconds(300), milliseconds(700) } };
         settings.stopGrace = milliseconds(1500);
         settings.metricsAddress = freeAddress();
@@ -176,15 +177,7 @@
         CHECK(fixture.serve(milliseconds(1000)) == 0);
     }
 
-    SECTION("and old searchers that stay get nothing")
-    {
-        fixture.runFor(propagationTime);
-        const auto before = fixture.oldArrivals();
-        CHECK(fixture.serve(milliseconds(1000)) == 0);
-        CHECK(fixture.oldArrivals() == before);
-    }
-
-    SECTION("and the metrics show it")
+    SECTION("and the metrics show it, the reports are removed, and old searchers that stay get nothing")
     {
         CHECK(fixture.runUntil([&] { return fixture.hasMetric(R"(limpet_rollout_state{service="a",state="succeeded"} 1)"); }));
         CHECK(fixture.hasMetric(R"(limpet_rollout_state{service="a",state="running"} 0)"));
@@ -193,18 +186,22 @@
             CHECK_FALSE(fixture.hasMetric(R"(limpet_rollout_answers{service="a",version=")" + std::string(version) + R"(",kind="all"} 0)"));
             CHECK(fixture.hasMetric(R"(limpet_rollout_answers{service="a",version=")" + std::string(version) + R"(",kind="bad"} )", ""));
         }
-    }
-
-    SECTION("and the reports are removed")
-    {
         CHECK(fixture.runUntil([&] { return !fixture.store.holds("limpetpier/rollouts/a/node-1"); }));
+
+        fixture.runFor(propagationTime);
+        const auto before = fixture.oldArrivals();
+        CHECK(fixture.serve(milliseconds(1000)) == 0);
+        CHECK(fixture.oldArrivals() == before);
     }
 
     SECTION("and a later version without an order serves as well")
     {
         fixture.addVersion("later1", "v3");
         fixture.runFor(propagationTime);
-        fixture.serve(milliseconds(1000));
+        for (const auto* id : { "new1", "new2" })
+            fixture.store.put(std::string("servers/") + id, fixture.searchers[id]->entry("a", "z1", "draining"));
+        fixture.runFor(propagationTime);
+        CHECK(fixture.serve(milliseconds(500)) == 0);
         CHECK(fixture.searchers["later1"]->arrivals() > 0);
     }
 }
@@ -219,16 +216,13 @@
     const auto all = fixture.oldArrivals() - oldBefore + fixture.newArrivals();
     CHECK(static_cast<double>(fixture.newArrivals()) <= 0.1 * static_cast<double>(all) + 50);
 
-    SECTION("and gets nothing afterwards")
+    SECTION("and gets nothing afterwards, also after a restart of the gateway")
     {
         fixture.runFor(propagationTime);
-        const auto before = fixture.newArrivals();
+        const auto beforeRestart = fixture.newArrivals();
         CHECK(fixture.serve(milliseconds(1000)) == 0);
-        CHECK(fixture.newArrivals() == before);
-    }
+        CHECK(fixture.newArrivals() == beforeRestart);
 
-    SECTION("also after a restart of the gateway")
-    {
         fixture.gatewayProcess.reset();
         fixture.startGatewayKeepingBounds();
         REQUIRE(fixture.runUntil([&] { return fixture.isReady(); }));
@@ -278,6 +272,23 @@
     }
 }
 
+TEST_CASE("An order that a restored store lacks is kept until it is written again")
+{
+    rollout_fixture fixture;
+    fixture.addVersion("new1", "v2");
+    fixture.store.keepCopy();
+    fixture.order("v2");
+    const auto isRunning = [&] { return fixture.hasMetric(R"(limpet_rollout_state{service="a",state="running"} 1)"); };
+    REQUIRE(fixture.serveUntilState("running", propagationTime));
+    REQUIRE(fixture.runUntil(isRunning));
+    const auto callsBefore = fixture.store.watchCalls();
+    fixture.store.restoreCopy();
+    REQUIRE(fixture.runUntil([&] { return fixture.store.watchCalls() > callsBefore + 1; }));
+    CHECK(isRunning());
+    fixture.order("v2");
+    CHECK(fixture.serveUntilState("succeeded"));
+}
+
 TEST_CASE("A withdrawn order is rolled back")
 {
     rollout_fixture fixture;
@@ -313,6 +324,28 @@
     CHECK(fixture.serve(milliseconds(100)) == 0);
 }
 
+TEST_CASE("Changes in the store are read sooner while a roll-out is active only")
+{
+    rollout_fixture fixture(false, milliseconds(1000));
+    // Reads in two seconds in which the store changes all the time.
+    const auto countReads = [&] {
+        const auto before = fixture.store.watchCalls();
+        for (int change = 0; change < 40; ++change) {
+            fixture.store.put("servers/odd", std::to_string(change));
+            fixture.runFor(milliseconds(50));
+        }
+        return fixture.store.watchCalls() - before;
+    };
+    CHECK(countReads() <= 4);
+    fixture.order("v2");
+    fixture.runFor(propagationTime);
+    CHECK(countReads() >= 8);
+    fixture.store.remove("op/rollout/a");
+    REQUIRE(fixture.runUntil([&] { return fixture.storedState().find("rolled_back") != std::string::npos; }));
+    fixture.runFor(propagationTime);
+    CHECK(countReads() <= 4);
+}
+
 TEST_CASE("A conditional write")
 {
     rollout_fixture fixture;
--- a/test/standins/platform_store.cc
+++ b/test/standins/platform_store.cc
@@ -142,6 +142,7 @@
 
 void platform_store::watch(const std::string& prefix, std::uint64_t after, long waitMs, const raw_exchange_handle& exchange)
 {
+    ++m_watchCalls;
     if (after < m_compactedRevision || after > m_revision) {
         answer(exchange, 410, "{}");
         return;
--- a/test/standins/platform_store.h
+++ b/test/standins/platform_store.h
@@ -53,6 +53,7 @@
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     [[nodiscard]] std::string address() const { return m_server.address(); }
     [[nodiscard]] std::size_t calls() const { return m_calls; }
+    [[nodiscard]] std::size_t watchCalls() const { return m_watchCalls; }
     [[nodiscard]] std::string valueOf(const std::string& key) const; // empty if the key does not exist
     [[nodiscard]] bool holds(const std::string& key) const { return m_items.contains(key); }
 
@@ -106,6 +107,7 @@
     std::uint64_t m_era = 1;
     bool m_statesEra = true;
     std::size_t m_calls = 0;
+    std::size_t m_watchCalls = 0;
     std::vector<waiting_watch> m_watches;
     bool m_ignoresWatches = false;
 };
