--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -30,6 +30,9 @@
     // Acquires the lease and writes the entry of this process; retries until both succeed.
     void start();
 
+    // Returns whether this process has sent its own entry to the store.
+    [[nodiscard]] bool hasSentEntry() const { return m_entrySent; }
+
     // Renews the lease now if the store has been silent for minSilenceBeforeProbe, to find out whether it still answers.
     void probeStore();
 
--- a/programs/gateway/workspace_limiter.cc
+++ b/programs/gateway/workspace_limiter.cc
@@ -75,6 +75,7 @@
         }
     }
     std::vector<listed_member> members;
+    members.reserve(memberAddresses.size());
     for (const auto& [name, address] : memberAddresses)
         members.push_back({ name, {} });
     auto keptLimits = m_limits;
