Requests give way by priority and work while a service is short of capacity

Cause: a gateway let in every request whatever the capacity; priority was decoded and read nowhere. Change: request_admission (coordination, no network or clock) infers a shortage from the ends of this process's requests and admits a share of them by priority and work, with a reserve for every route and workspace; request_gate applies it, where the routing table ranks its routes. Refused requests were not executed and get a spread return time.

--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -70,6 +70,7 @@
     part_missing = 605,
     request_unrouted = 606,
     part_failed = 607,
+    request_held_back = 608,
     readiness_changed = 105,
     log_left_out = 106,
 };
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -35,6 +35,19 @@
 // Time without contact to the store after which this process is ready only while its searchers cover all routes.
 constexpr milliseconds maxStoreSilence { 1500 };
 
+// Returns the report of a request that ends before it was started.
+request_report describeUnstarted(const accepted_request& run, const char* outcome, unsigned status)
+{
+    request_report result;
+    result.requestId = run.clientRequest->id;
+    result.route = run.matchedRoute->name;
+    result.tableVersion = run.routingTable->version();
+    result.outcome = outcome;
+    result.status = status;
+    result.elapsed = std::chrono::duration_cast<milliseconds>(monotonic_clock::now() - run.arrivedAt);
+    return result;
+}
+
 } // namespace
 
 gateway::gateway(asio::io_context& io, const gateway_protocol& protocol, metadata_store& store, gateway_settings settings)
@@ -43,6 +56,7 @@
     , m_settings(std::move(settings))
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
     , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
+    , m_gate(io.get_executor(), { [this](accepted_request run) { startRequest(std::move(run)); }, [this](accepted_request run, monotonic_time returnAt) { refuse(std::move(run), returnAt); }, [this](const accepted_request& run, const request_gate::verdict& verdict) { recordAdmission(run, verdict); }, [this](const accepted_request& run) { report(describeUnstarted(run, "client_left", 0)); } })
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
     , m_clientListener(io.get_executor(), parseTcpEndpoint(m_settings.clientAddress), [this](http_request request, client_call call) { handleRequest(std::move(request), std::move(call)); })
     , m_readinessListener(io.get_executor(), parseTcpEndpoint(m_settings.readyAddress), [this](const http_request&, client_call call) { handleReady(std::move(call)); })
@@ -126,7 +140,25 @@
 
 void gateway::admit(accepted_request run)
 {
-    startRequest(std::move(run));
+    m_gate.admit(std::move(run));
+}
+
+void gateway::refuse(accepted_request run, monotonic_time returnAt)
+{
+    report(describeUnstarted(run, "gave_way", statusUnavailable));
+    // While this process is cut off from the store, another one may have capacity at once.
+    const auto delay = m_view.isReachable() ? returnDelay(returnAt, monotonic_clock::now()) : minReturnDelay;
+    run.clientCall.answer(m_protocol.encodeFailure(statusUnavailable, "too many requests at present, so this one was not executed; retry it", delay));
+}
+
+void gateway::recordAdmission(const accepted_request& run, const request_gate::verdict& verdict)
+{
+    constexpr double percent = 100;
+    const auto& decision = verdict.decision;
+    m_metrics.recordAdmission(run.matchedRoute->name, decision);
+    if (decision.verdict == admission_verdict::admit || !isLogged(event::request_held_back))
+        return;
+    logEvent(event::request_held_back, event_fields().add("request", run.clientRequest->id).add("route", run.matchedRoute->name).add("decision", toText(decision.verdict)).add("why", decision.reason).add("priority", run.priority).add("workspace", run.workspace.value()).add("time_left_ms", std::chrono::duration_cast<milliseconds>(run.deadline - monotonic_clock::now())).add("short_percent", static_cast<int>(percent * verdict.shortage)).add("admitted_percent", static_cast<int>(percent * verdict.admittedShare)).add("until_ms", std::chrono::duration_cast<milliseconds>(decision.until - monotonic_clock::now())));
 }
 
 void gateway::startRequest(accepted_request run)
@@ -196,6 +228,7 @@
 {
     constexpr unsigned firstFailure = 500;
     m_metrics.record(ended);
+    m_gate.recordEnd(ended);
     if (ended.lackedSearchers)
         m_view.probeStore(); // this process may be cut off from both
     const auto id = ended.status >= firstFailure ? event::request_failed : event::request_ended;
@@ -255,7 +288,7 @@
     const bool isRemoved = m_unreadyReplies >= unreadyChecksUntilRemoval || now >= m_stop->answersDue() - 2 * lateArrivalPeriod;
     if (now >= m_stop->answersDue())
         answerRunningRequests();
-    const bool isDone = m_context.handlers.empty() && m_clientListener.unfinishedReplies() == 0;
+    const bool isDone = m_context.handlers.empty() && m_gate.waiting() == 0 && m_clientListener.unfinishedReplies() == 0;
     if (m_draining && now >= m_arrivalsEndAt && (isDone || now >= m_stop->exitDue())) {
         logEvent(event::stopped, event_fields().add("running", m_context.handlers.size()).add("unfinished_replies", m_clientListener.unfinishedReplies()).add("ms", std::chrono::duration_cast<milliseconds>(now - m_stop->startedAt())));
         flushLog();
@@ -277,6 +310,7 @@
 
 void gateway::answerRunningRequests()
 {
+    m_gate.refuseWaiting();
     const auto handlers = m_context.handlers; // each removes itself, some only later
     for (auto* handler : handlers) {
         if (m_context.handlers.contains(handler))
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -8,7 +8,7 @@
 #include "gateway_metrics.h"
 #include "limpetpier/coordination/stop_schedule.h"
 #include "limpetpier/coordination/traffic_split.h"
-#include "request_handling.h"
+#include "request_gate.h"
 
 namespace limpetpier {
 
@@ -32,6 +32,8 @@
     // Decides whether a request with a route may start now. May answer it with a refusal, or start it later.
     void admit(accepted_request run);
     void startRequest(accepted_request run);
+    void refuse(accepted_request run, monotonic_time returnAt);
+    void recordAdmission(const accepted_request& run, const request_gate::verdict& verdict);
 
     void handleReady(client_call call);
     void handleMetrics(const http_request& request, client_call call);
@@ -54,6 +56,7 @@
     request_handler_context m_context;
     std::map<std::string, route_statistics> m_routeRecords; // by route name
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
+    request_gate m_gate;
     deployment_view m_view;
     client_listener m_clientListener;
     client_listener m_readinessListener;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -31,6 +31,11 @@
     m_registry.add("limpet_parts_missing_total", { { "route", route } }, static_cast<double>(ended.missingParts));
 }
 
+void gateway_metrics::recordAdmission(const std::string& route, const admission_decision& decision)
+{
+    m_registry.add("limpet_admission_total", { { "route", routeLabel(route) }, { "decision", toText(decision.verdict) }, { "why", decision.reason } }, 1);
+}
+
 void gateway_metrics::recordStoreCall(const char* call, store_result result, microseconds elapsed)
 {
     m_registry.observe("limpet_store_call_seconds", { { "call", call }, { "result", toText(result) } }, std::chrono::duration<double>(elapsed).count());
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -3,6 +3,7 @@
 #include <set>
 #include <string>
 
+#include "limpetpier/coordination/request_admission.h"
 #include "limpetpier/transport/metadata_store.h"
 #include "limpetpier/transport/metrics.h"
 #include "request_handling.h"
@@ -16,6 +17,9 @@
     // Counts a finished request with its sends and parts.
     void record(const request_report& ended);
 
+    // Counts a decision on the admission of a request.
+    void recordAdmission(const std::string& route, const admission_decision& decision);
+
     // Counts a change between reachable and unreachable of the store.
     void recordStoreReachability(bool reachable);
 
--- a/programs/gateway/gateway_request_handler.cc
+++ b/programs/gateway/gateway_request_handler.cc
@@ -63,6 +63,7 @@
     m_report.requestId = m_request.clientRequest->id;
     m_report.route = m_request.matchedRoute->name;
     m_report.tableVersion = m_request.routingTable->version();
+    m_report.admittedTo = m_request.admittedTo;
 }
 
 gateway_request_handler::~gateway_request_handler() { m_context.handlers.erase(this); }
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -69,6 +69,7 @@
     event_entry { event::call_failed, event_level::info, "call_failed", log_importance::routine },
     event_entry { event::part_missing, event_level::info, "part_missing", log_importance::routine },
     event_entry { event::part_failed, event_level::info, "part_failed" },
+    event_entry { event::request_held_back, event_level::info, "request_held_back", log_importance::routine },
     event_entry { event::request_unrouted, event_level::info, "request_unrouted", log_importance::routine },
     event_entry { event::readiness_changed, event_level::info, "readiness_changed" },
     event_entry { event::log_left_out, event_level::warning, "log_left_out" },
