--- a/programs/gateway/request_gate.cc
+++ b/programs/gateway/request_gate.cc
@@ -19,9 +19,9 @@
 
 } // namespace
 
-request_gate::request_gate(asio::any_io_executor executor, actions actions)
+request_gate::request_gate(const asio::any_io_executor& executor, actions actions)
     : m_actions(std::move(actions))
-    , m_timer(std::move(executor))
+    , m_timer(executor)
 {
 }
 
--- a/programs/gateway/request_gate.h
+++ b/programs/gateway/request_gate.h
@@ -27,7 +27,7 @@
         std::function<void(const accepted_request&)> clientLeft; // while its request waited
     };
 
-    request_gate(asio::any_io_executor executor, actions actions);
+    request_gate(const asio::any_io_executor& executor, actions actions);
 
     // Decides on a request that has just arrived.
     void admit(accepted_request request);
