--- a/test/gateway_admission_test.cc
+++ b/test/gateway_admission_test.cc
@@ -7,13 +7,15 @@
 
 namespace {
 
-// Gateway with one service of two searchers and, if isRanked, routes of more than one priority.
+// Gateway with a service of two searchers, two of one each and, if isRanked, routes of more than one priority.
 class admission_fixture : public standins::gateway_fixture {
 public:
     explicit admission_fixture(bool isRanked)
     {
         for (const auto* id : { "a1", "a2" })
             addSearcher("a", id, "z");
+        addSearcher("b", "b1", "y");
+        addSearcher("c", "c1", "x");
         const auto* ranked = R"(,{"name":"urgent","host":"h.example","prefix":"/urgent/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":0,"service":"a","maxAttempts":2})";
         writeConfiguration(1, isRanked ? ranked : "");
         startAndAwaitReady();
@@ -60,6 +62,7 @@
         fixture.runFor(milliseconds(5000));
         for (int request = 0; request < attempts; ++request)
             CHECK(fixture.sendRequest("/safe/x", "after" + std::to_string(request)).reply.status == 200);
+        CHECK(fixture.sendRequest("/query/x", "query").reply.status == 200);
     }
     SECTION("admits all if its routes have the same priority")
     {
