--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -9,6 +9,8 @@
 #include "limpetpier/coordination/stop_schedule.h"
 #include "limpetpier/coordination/traffic_split.h"
 #include "request_gate.h"
+#include "request_handling.h"
+#include "workspace_limiter.h"
 
 namespace limpetpier {
 
@@ -29,8 +31,15 @@
     void handleRequest(http_request message, client_call call);
     void route(std::shared_ptr<client_request> request, client_call call);
 
+    // Answers a request whose key does not permit the route.
+    void refuseUnauthorized(const client_request& request, const limpetpier::route& rule, client_call& call);
+
     // Decides whether a request with a route may start now. May answer it with a refusal, or start it later.
     void admit(accepted_request run);
+
+    // Starts a request if the limit of its workspace lets it, which other gateways may have to be asked.
+    void startWithinLimit(accepted_request run);
+    void refuseBeyondLimit(accepted_request& run, const permit_decision& decision);
     void startRequest(accepted_request run);
     void refuse(accepted_request run, monotonic_time returnAt);
     void recordAdmission(const accepted_request& run, const request_gate::verdict& verdict);
@@ -58,6 +67,10 @@
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
     request_gate m_gate;
     deployment_view m_view;
+    workspace_limiter m_limiter;
+    std::shared_ptr<connection_budget> m_readinessBudget;
+    std::shared_ptr<connection_budget> m_metricsBudget;
+    std::shared_ptr<connection_budget> m_clientBudget;
     client_listener m_clientListener;
     client_listener m_readinessListener;
     std::unique_ptr<client_listener> m_metricsListener;
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -7,6 +7,7 @@
 #include "limpetpier/transport/metadata_store.h"
 #include "limpetpier/transport/metrics.h"
 #include "request_handling.h"
+#include "workspace_limiter.h"
 
 namespace limpetpier {
 
@@ -20,6 +21,9 @@
     // Counts a decision on the admission of a request.
     void recordAdmission(const std::string& route, const admission_decision& decision);
 
+    // Counts the decision on a request of a limited workspace, with the time that it took.
+    void recordPermit(const permit_decision& decision);
+
     // Counts a change between reachable and unreachable of the store.
     void recordStoreReachability(bool reachable);
 
@@ -30,6 +34,8 @@
     struct gauges {
         std::size_t runningRequests = 0;
         std::size_t clientConnections = 0;
+        std::size_t clientBytes = 0; // held by requests and replies of clients
+        std::size_t clientsGivenUp = 0; // connections closed for lack of memory or connections, since the start
         std::size_t searchers = 0;
         std::size_t usableSearchers = 0;
         std::size_t searcherConnections = 0;
@@ -37,6 +43,8 @@
         std::uint64_t tableVersion = 0;
         double viewAgeSeconds = 0; // since the store's last answer; negative before the first
         bool ready = false;
+        std::size_t limitsKept = 0; // workspaces whose limits this process keeps
+        std::size_t waitingForPermits = 0; // requests
         std::map<service_id, double> extraSendsLeft; // extra sends left in the current window, by service
         std::map<service_id, searcher_limits> shares; // this process's part of the limits of one searcher, by service
     };
--- a/programs/gateway/searcher_connection_pool.h
+++ b/programs/gateway/searcher_connection_pool.h
@@ -24,7 +24,7 @@
 class searcher_connection_pool {
 public:
     // protocol must outlive the pool. The budget limits the memory for replies of all pools that share it.
-    searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry, std::shared_ptr<receive_budget> budget);
+    searcher_connection_pool(asio::any_io_executor executor, const gateway_protocol& protocol, searcher_entry entry, std::shared_ptr<connection_budget> budget);
     ~searcher_connection_pool();
     searcher_connection_pool(const searcher_connection_pool&) = delete;
     searcher_connection_pool& operator=(const searcher_connection_pool&) = delete;
@@ -108,6 +108,7 @@
     void applyNotice(const pooled_connection& from, const http_reply& reply);
     void recordOutcome(bool failed, monotonic_time now);
     void handleClosedConnection(const pooled_connection_ptr& closed);
+    void handleUnhealthyReply(const health_report& report);
     void handleConnectionFailure();
     void delayReconnect(monotonic_time now);
     void markUnverified(const char* why);
@@ -116,11 +117,12 @@
     void closeAllConnections();
     pooled_connection_ptr findIdleConnection(monotonic_time now);
     [[nodiscard]] std::size_t connectingCount() const;
+    [[nodiscard]] bool hasOpenConnection() const;
 
     asio::any_io_executor m_executor;
     const gateway_protocol& m_protocol;
     searcher_entry m_entry;
-    std::shared_ptr<receive_budget> m_receiveBudget;
+    std::shared_ptr<connection_budget> m_receiveBudget;
     monotonic_time m_coldUntil {}; // according to its entry
     monotonic_time m_reportedColdUntil {}; // according to its last health check; an entry may be older
     cold_allowance m_coldRequests;
@@ -129,6 +131,9 @@
     std::uint64_t m_incarnation = 0; // incremented when the searcher restarts
     bool m_evacuated = false;
     bool m_verified = true;
+    bool m_uptimeKnown = true; // false if the searcher may have restarted while no connection was open
+    bool m_wasConnected = false;
+    monotonic_time m_lastReplyAt {}; // when it last completed a reply
     std::uint32_t m_unhealthyReplies = 0; // in a row
     monotonic_time m_reconnectAt {}; // no connection is opened before
     milliseconds m_reconnectDelay;
--- a/src/transport/http_channel.cc
+++ b/src/transport/http_channel.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <netinet/tcp.h>
 
+#include "limpetpier/protocol/http_request_reader.h"
 #include "limpetpier/transport/events.h"
 
 namespace limpetpier {
@@ -55,6 +56,15 @@
     return seconds;
 }
 
+template <typename Message>
+std::vector<http_field> copyFields(const Message& message)
+{
+    std::vector<http_field> fields;
+    for (const auto& field : message)
+        fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    return fields;
+}
+
 } // namespace
 
 std::shared_ptr<http_channel> http_channel::create(const asio::any_io_executor& executor, const asio::ip::tcp::endpoint& endpoint)
@@ -100,10 +110,10 @@
     });
 }
 
-void http_channel::useBudget(std::shared_ptr<receive_budget> budget)
+void http_channel::useBudget(std::shared_ptr<connection_budget> budget)
 {
     // Posted, as another channel may be in the middle of a read.
-    m_budgetAccount = std::make_unique<receive_budget::account>(std::move(budget), [this] {
+    m_budgetAccount = std::make_unique<connection_budget::account>(std::move(budget), [this] {
         asio::post(m_socket.get_executor(), [weak = weak_from_this(), exchange = m_exchangeCount] {
             const auto self = weak.lock();
             if (!self || self->m_state != state::open || !self->m_exchangePending || self->m_exchangeCount != exchange)
@@ -132,6 +142,16 @@
     m_onReply = std::move(handler);
     m_request = std::move(request);
     startParser();
+    beast::error_code ignored;
+    if (m_socket.available(ignored) > 0) {
+        // Received before the request was sent, so it can't be a reply to it. Posted, as the caller does not expect the result
+        // within its call.
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), exchange = m_exchangeCount] {
+            if (self->m_state == state::open && self->m_exchangePending && self->m_exchangeCount == exchange)
+                self->failConnection();
+        });
+        return;
+    }
     write();
 }
 
@@ -173,8 +193,8 @@
 
 void http_channel::handleData(const char* data, std::size_t count)
 {
-    if (!m_exchangePending) {
-        failConnection(); // received data without a pending request
+    if (!m_exchangePending || (!m_writePending && !m_anyWritten)) {
+        failConnection(); // received data without a pending request, or before it was sent
         return;
     }
     m_unparsed.append(data, count);
@@ -193,13 +213,23 @@
     beast::error_code error;
     const auto consumed = m_parser->put(asio::buffer(m_unparsed), error);
     m_unparsed.erase(0, consumed);
-    if (error && error != http::error::need_more) {
+    if ((error && error != http::error::need_more) || !checkHead()) {
         failConnection();
         return false;
     }
     return m_parser->is_done();
 }
 
+// False if the head was received and can't be that of a reply.
+bool http_channel::checkHead()
+{
+    if (m_headChecked || !m_parser->is_header_done())
+        return true;
+    m_headChecked = true;
+    const auto& message = m_parser->get();
+    return isValidReplyHead(message.result_int(), copyFields(message), message.version() % 10);
+}
+
 void http_channel::startParser()
 {
     m_parser.emplace();
@@ -207,6 +237,7 @@
     m_parser->skip(m_isHead);
     m_parser->header_limit(maxHeaderBytes);
     m_parser->body_limit(maxReplyBytes);
+    m_headChecked = false;
 }
 
 // Continues with the next reply after an interim or discarded one.
@@ -229,8 +260,7 @@
     exchange_result result;
     result.stage = exchange_stage::replied;
     result.reply.status = message.result_int();
-    for (const auto& field : message)
-        result.reply.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    result.reply.fields = copyFields(message);
     result.reply.body = std::move(message.body());
     if (m_matches && !m_matches(result.reply)) {
         m_mustClose = true; // a reply to an earlier request, the reply to this one may follow
--- a/test/standins/gateway_fixture.h
+++ b/test/standins/gateway_fixture.h
@@ -42,8 +42,8 @@
     // "unsafe" to service "a"; extraRoutes is JSON that is appended to them.
     void writeConfiguration(std::uint64_t version, const std::string& extraRoutes = "") { store.put("op/config", makeConfiguration(version, extraRoutes)); }
 
-    // Returns the configuration that writeConfiguration() writes.
-    static std::string makeConfiguration(std::uint64_t version, const std::string& extraRoutes = "")
+    // Returns the configuration that writeConfiguration() writes; members is JSON that is appended to its members.
+    static std::string makeConfiguration(std::uint64_t version, const std::string& extraRoutes = "", const std::string& members = "")
     {
         std::string services;
         for (const auto* name : { "a", "b", "c" })
@@ -52,18 +52,18 @@
             {"name":"query","host":"h.example","prefix":"/query/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"gather":["a","b","c"],"maxAttempts":2,"topK":3,"minCoverage":0.6},
             {"name":"safe","host":"h.example","prefix":"/safe/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"a","maxAttempts":2},
             {"name":"unsafe","host":"h.example","prefix":"/unsafe/","type":"unsafe","timeoutMs":400,"targetLatencyMs":100,"priority":1,"service":"a","maxAttempts":2})"
-            + extraRoutes + R"(],"services":[)" + services + R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":500,"idleTimeoutMs":5000}})";
+            + extraRoutes + R"(],"services":[)" + services + R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":500,"idleTimeoutMs":5000})" + members + "}";
     }
 
     // Starts the gateway with short timeouts; does not wait until it is ready.
-    void startGateway(milliseconds memberSettleTime = milliseconds(20))
+    void startGateway(milliseconds memberSettleTime = milliseconds(20), milliseconds window = retryWindow)
     {
         settings.node = node_id("node-1");
         settings.zone = data_centre_id("z1");
         settings.clientAddress = freeAddress();
         settings.readyAddress = freeAddress();
         settings.peerAddress = freeAddress();
-        settings.bounds = { 0.2, 50, milliseconds(10'000), 1.5, 5 };
+        settings.bounds = { 0.2, 50, window, 1.5, 5, limitWindow, 0, 0 };
         settings.membershipTiming.silenceTimeout = silenceTimeout;
         settings.memberSettleTime = memberSettleTime;
         settings.stopGrace = milliseconds(1500);
@@ -71,12 +71,16 @@
         gatewayProcess->start();
     }
 
-    // Starts the gateway and waits until it is ready and its connections to the searchers are open.
+    // Starts the gateway and waits until it is ready, its connections to the searchers are open and it may use its part of
+    // the retry slack, which takes a whole window after a start: the window is short until then.
     void startAndAwaitReady()
     {
-        startGateway();
+        constexpr milliseconds shortWindow { 100 };
+        startGateway(milliseconds(20), shortWindow);
         REQUIRE(runUntil([&] { return isReady(); }));
-        runFor(milliseconds(120));
+        runFor(milliseconds(240));
+        settings.bounds.retryWindow = retryWindow;
+        gatewayProcess->changeSettings(settings);
     }
 
     // Runs the event loop for this long.
@@ -146,6 +150,9 @@
         return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
     }
 
+    static constexpr milliseconds retryWindow { 10'000 };
+    milliseconds limitWindow { 0 }; // workspaces have no limits unless this is set before the start
+
     boost::asio::io_context io { 1 };
     platform_store store;
     std::map<std::string, std::unique_ptr<platform_searcher>> searchers;
