--- a/include/limpetpier/coordination/request_admission.h
+++ b/include/limpetpier/coordination/request_admission.h
@@ -36,7 +36,6 @@
     std::string route;
     std::uint32_t priority = 0; // 0 is the highest
     workspace_id workspace {}; // empty if it has none
-    std::uint64_t fingerprint = 0; // equal for repeats of a request; 0 if unknown
     double work = 1; // searcher time that it needs, relative to the other routes of the service
     milliseconds objective { 0 }; // latency objective
     monotonic_time deadline;
@@ -74,21 +73,51 @@
     indifferent, // says nothing of the capacity, such as a client that left
 };
 
+// End of an admitted request.
+struct admission_end {
+    admission_outcome outcome = admission_outcome::served;
+    std::string route;
+    monotonic_time admittedAt;
+    microseconds elapsed { 0 };
+};
+
+// Share of requests that is admitted: reduced when requests fail, it returns to the share before and, if nothing fails
+// there, grows beyond it.
+class admitted_level {
+public:
+    [[nodiscard]] double at(monotonic_time now) const;
+    void reduce(double failedShare, monotonic_time now);
+
+    // False shortly after a reduction.
+    [[nodiscard]] bool isReducible(monotonic_time now) const;
+
+    // True if a request admitted then was subject to the last reduction.
+    [[nodiscard]] bool isAfterReduction(monotonic_time admittedAt) const { return !m_reducedAt || admittedAt >= *m_reducedAt; }
+
+    // Time until it is back at the share before.
+    [[nodiscard]] milliseconds recoveryLeft(monotonic_time now) const;
+
+private:
+    std::optional<monotonic_time> m_reducedAt;
+    double m_before = 1;
+    double m_reduced = 1;
+};
+
 // Decides which requests give way while a service, or the shards of a query, cannot serve all of them.
 //
 // Shortage is inferred from the ends of this process's own requests. Without recent ends for lack of capacity, every
 // request is admitted. During a shortage, only a share of the requests is admitted, which follows what fails, and routes
 // receive it in the order of their priority and then of the work that a request needs; a reserve keeps every route and workspace from starving.
-// Within a route, workspaces that send far more than their usual share, and clients that repeat a refused request too
-// early, give way first. Time and random numbers are passed in.
+// Within a route, workspaces that send far more than their usual share give way first. A route that fails much more often
+// than the others is reduced by itself. Time and random numbers are passed in.
 class request_admission {
 public:
     // Decides on a request that has just arrived. draw and spread: independent random numbers from 0 to 1, exclusive.
     [[nodiscard]] admission_decision decide(const admission_candidate& candidate, monotonic_time now, double draw, double spread);
 
-    // Records that an admitted request ended, after which time. Returns the waiting request that takes its place, if any;
+    // Records that an admitted request ended. Returns the waiting request that takes its place, if any;
     // it counts as admitted.
-    [[nodiscard]] std::optional<admission_ticket> recordEnd(admission_outcome outcome, microseconds elapsed, monotonic_time now);
+    [[nodiscard]] std::optional<admission_ticket> recordEnd(const admission_end& ended, monotonic_time now);
 
     // Removes the requests whose wait is over, which are to be refused.
     [[nodiscard]] std::vector<expired_wait> takeExpired(monotonic_time now, double spread);
@@ -115,7 +144,11 @@
     // Share of the requests that is admitted in any shortage, so that its end is noticed.
     static constexpr double minimumAdmitted = 0.2;
 
-    // A request waits for at most this fraction (1/n) of its latency objective.
+    // A route is reduced by itself if this share of its requests fails, and a smaller one than half of that elsewhere.
+    static constexpr double outlierFailures = 0.5;
+    static constexpr double outlierFactor = 2;
+
+    // A request waits for at most this fraction (1/n) of its latency objective, and never past its deadline.
     static constexpr int maxWaitDivisor = 5;
 
     // A workspace's requests beyond this multiple of its usual rate give way first.
@@ -125,9 +158,8 @@
     static constexpr milliseconds recentTime { 1500 };
     static constexpr milliseconds usualTime { 60'000 };
 
-    // Limits of the tables of workspaces and of refused requests.
+    // Limit of a route's table of workspaces.
     static constexpr std::size_t maxWorkspaces = 512;
-    static constexpr std::size_t maxRefused = 1024;
 
 private:
     struct workspace_record {
@@ -141,6 +173,9 @@
         monotonic_time firstArrival {};
         recent_count arrived { recentTime };
         recent_count surplus { recentTime }; // arrivals beyond the usual rate of their workspaces
+        recent_count served { recentTime };
+        recent_count lacking { recentTime };
+        admitted_level ownLevel;
         std::map<workspace_id, workspace_record> workspaces;
     };
 
@@ -152,26 +187,18 @@
 
     // Counts the request, and returns the probability with which it is beyond the usual rate of its workspace.
     double recordArrival(route_record& route, const admission_candidate& candidate, monotonic_time now);
-    [[nodiscard]] static double admissionProbability(const route_record& route, double admitted, bool isSurplus, monotonic_time now);
-    [[nodiscard]] bool isWaitWorthwhile(const admission_candidate& candidate) const;
-    monotonic_time recordRefusal(const admission_candidate& candidate, monotonic_time now, double spread);
+    [[nodiscard]] double admissionProbability(const route_record& route, double admitted, bool isSurplus, monotonic_time now) const;
+    [[nodiscard]] static milliseconds longestWait(const admission_candidate& candidate, monotonic_time now);
+    [[nodiscard]] bool isWaitWorthwhile(const admission_candidate& candidate, monotonic_time now) const;
+    [[nodiscard]] monotonic_time returnTime(const admission_candidate& candidate, monotonic_time now, double spread) const;
+    void recordLack(const admission_end& ended, monotonic_time now);
 
-    [[nodiscard]] double admittedLevel(monotonic_time now) const;
-    void reduceLevel(monotonic_time now);
-
-    recent_count m_served { recentTime };
-    recent_count m_lacking { recentTime };
-    // The share of all requests that is admitted: reduced when requests fail, it returns to the share before and, if
-    // nothing fails there, grows beyond it.
-    std::optional<monotonic_time> m_reducedAt;
-    double m_levelBefore = 1;
-    double m_reducedLevel = 1;
+    admitted_level m_level; // of all routes together
     double m_meanMicroseconds = 0; // of served requests
     std::size_t m_running = 0;
     std::vector<waiting_request> m_waiting; // first to be admitted last
     std::uint64_t m_lastTicket = 0;
     std::map<std::string, route_record> m_routes;
-    std::map<std::uint64_t, monotonic_time> m_returnTimes; // of refused requests, by fingerprint
 };
 
 } // namespace limpetpier
--- a/programs/gateway/gateway.cc
+++ b/programs/gateway/gateway.cc
@@ -74,7 +74,7 @@
     , m_settings(std::move(settings))
     , m_fleet(io.get_executor(), protocol, m_settings.zone, m_settings.bounds)
     , m_context { io.get_executor(), protocol, m_fleet, [this](const request_report& ended) { report(ended); } }
-    , m_gate(io.get_executor(), { [this](accepted_request run) { startRequest(std::move(run)); }, [this](accepted_request run, monotonic_time returnAt) { refuse(std::move(run), returnAt); }, [this](const accepted_request& run, const request_gate::verdict& verdict) { recordAdmission(run, verdict); }, [this](const accepted_request& run) { report(describeUnstarted(run, "client_left", 0)); } })
+    , m_gate(io.get_executor(), m_settings.givesWay, { [this](accepted_request run) { startRequest(std::move(run)); }, [this](accepted_request run, monotonic_time returnAt) { refuse(std::move(run), returnAt); }, [this](const accepted_request& run, const request_gate::verdict& verdict) { recordAdmission(run, verdict); }, [this](const accepted_request& run) { report(describeUnstarted(run, "client_left", 0)); } })
     , m_view(io.get_executor(), protocol, store, m_settings, [this](bool reachable) { handleStoreReachability(reachable); })
     , m_limiter(io.get_executor(), m_settings.node, m_settings.peerAddress, m_settings.nodeSecret, m_settings.membershipTiming.leaseTtl / 2)
     , m_readinessBudget(std::make_shared<connection_budget>(operationsLimits(m_settings.clientLimits)))
@@ -203,7 +203,7 @@
 void gateway::startWithinLimit(accepted_request run)
 {
     if (!m_limiter.isLimited(run.workspace)) {
-        startRequest(std::move(run));
+        m_gate.admit(std::move(run));
         return;
     }
     const auto workspace = run.workspace;
@@ -212,7 +212,7 @@
     m_limiter.acquire(workspace, spread, [this, shared](const permit_decision& decision) {
         m_metrics.recordPermit(decision);
         if (decision.granted)
-            startRequest(std::move(*shared));
+            m_gate.admit(std::move(*shared));
         else
             refuseBeyondLimit(*shared, decision);
     });
--- a/programs/gateway/gateway_request_handler.cc
+++ b/programs/gateway/gateway_request_handler.cc
@@ -64,6 +64,7 @@
     m_report.route = m_request.matchedRoute->name;
     m_report.tableVersion = m_request.routingTable->version();
     m_report.admittedTo = m_request.admittedTo;
+    m_report.admittedAt = m_request.admittedAt;
 }
 
 gateway_request_handler::~gateway_request_handler() { m_context.handlers.erase(this); }
--- a/programs/gateway/gateway_settings.h
+++ b/programs/gateway/gateway_settings.h
@@ -21,6 +21,7 @@
     std::vector<std::string> seeds; // IP:port of some gateways, asked for their view while no member is known
     deployment_limits bounds;
     connection_budget::limits clientLimits; // of the client, readiness and metrics listeners together
+    bool givesWay = false; // during a shortage, requests wait or are refused by the priority of their routes
     milliseconds stopGrace { 6000 }; // from the termination signal to the forced exit
     membership_timing membershipTiming;
     milliseconds changeBatchDelay { 700 }; // changes in the store are collected for this long and read in one call
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -81,6 +81,7 @@
     settings.minExpiryOutage = node.searcherHeartbeat * (heartbeatsUntilExpiry - heartbeatsMissedAround);
     settings.stopGrace = node.stopGrace;
     settings.clientLimits = findClientLimits(node, flags);
+    settings.givesWay = flags.number("give-way") == 1;
     settings.membershipTiming.leaseTtl = node.minLeaseTtl * leaseTtlFactor;
     settings.membershipTiming.renewalInterval = settings.membershipTiming.leaseTtl / renewalsPerLease;
     settings.membershipTiming.silenceTimeout = std::max(node.searcherHeartbeat * heartbeatsUntilExpiry - storeTimeout - expiryMargin, minSilenceTimeout);
@@ -155,6 +156,7 @@
         { "log-bytes", "100000", "Maximum log bytes per second; routine lines may use half of it", setting_kind::number, true, 100, 100'000'000, false },
         { "client-memory-mb", "0", "Memory for requests and replies of all clients together, in MiB; 0: a quarter of the machine's", setting_kind::number, true, 0, 1'000'000, false },
         { "client-connections", "0", "Open connections of all clients together; 0: three quarters of the process's open files", setting_kind::number, true, 0, 1'000'000, false },
+        { "give-way", "0", "1: during a shortage, requests wait or are refused by the priority of their routes; 0: none is", setting_kind::number, true, 0, 1, false },
         { "node-secret", "", "Shared secret with which the gateways of a deployment exchange views of the store; empty disables the exchange", setting_kind::text, false, 0, 0, true },
     };
     return table;
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -40,6 +40,9 @@
     // Ends the lease, which removes this process from the list, and stops renewing it.
     void leave();
 
+    // Returns whether this process has tried to write its entry since it started.
+    [[nodiscard]] bool hasSentEntry() const { return m_entrySent; }
+
     // When the store last answered a call of this process or its watch.
     [[nodiscard]] monotonic_time lastStoreAnswer() const;
 
--- a/programs/gateway/request_gate.cc
+++ b/programs/gateway/request_gate.cc
@@ -19,14 +19,17 @@
 
 } // namespace
 
-request_gate::request_gate(const asio::any_io_executor& executor, actions actions)
-    : m_actions(std::move(actions))
+request_gate::request_gate(const asio::any_io_executor& executor, bool isOn, actions actions)
+    : m_isOn(isOn)
+    , m_actions(std::move(actions))
     , m_timer(executor)
 {
 }
 
 bool request_gate::isInForce(const routing_table& table)
 {
+    if (!m_isOn)
+        return false;
     if (m_checkedVersion != table.version()) {
         m_checkedVersion = table.version();
         const auto& routes = table.routes();
@@ -42,12 +45,10 @@
 
 admission_candidate request_gate::describe(const accepted_request& request)
 {
-    const auto& message = request.clientRequest->message;
     admission_candidate result;
     result.route = request.matchedRoute->name;
     result.priority = request.priority;
     result.workspace = request.workspace;
-    result.fingerprint = std::hash<std::string> {}(message.method + ' ' + request.clientRequest->host + message.target + '\n' + message.body);
     result.work = static_cast<double>(request.statistics->medianReplyTime(*request.matchedRoute).count());
     result.objective = request.matchedRoute->latencyObjective;
     result.deadline = request.deadline;
@@ -70,6 +71,7 @@
     m_actions.decided(request, { decision, admission.shortage(now), admission.admittedShare(candidate.route, now) });
     switch (decision.verdict) {
     case admission_verdict::admit:
+        request.admittedAt = now;
         m_actions.start(std::move(request));
         break;
     case admission_verdict::wait: {
@@ -101,10 +103,11 @@
 {
     if (ended.admittedTo.value().empty())
         return;
-    const auto next = m_admissions[ended.admittedTo].recordEnd(outcomeOf(ended), ended.elapsed, monotonic_clock::now());
+    const auto next = m_admissions[ended.admittedTo].recordEnd({ outcomeOf(ended), ended.route, ended.admittedAt, ended.elapsed }, monotonic_clock::now());
     if (!next)
         return;
     auto node = m_waiting.extract({ ended.admittedTo, *next });
+    node.mapped().admittedAt = monotonic_clock::now();
     // Started by the event loop, as the request that ended is still being handled.
     asio::post(m_timer.get_executor(), [this, alive = std::weak_ptr(m_alive), request = std::move(node.mapped())]() mutable {
         if (!alive.expired())
--- a/programs/gateway/request_gate.h
+++ b/programs/gateway/request_gate.h
@@ -8,7 +8,8 @@
 namespace limpetpier {
 
 // Lets requests in, holds them back or refuses them, as request_admission decides for the service that they need. Takes
-// effect while the routing table ranks its routes by more than one priority; otherwise everything is let in.
+// effect if it is switched on, while the routing table ranks its routes by more than one priority; otherwise everything
+// is let in.
 class request_gate {
 public:
     // A request with the decision on it and the figures that it rests on, for the log and the metrics.
@@ -27,7 +28,7 @@
         std::function<void(const accepted_request&)> clientLeft; // while its request waited
     };
 
-    request_gate(const asio::any_io_executor& executor, actions actions);
+    request_gate(const asio::any_io_executor& executor, bool isOn, actions actions);
 
     // Decides on a request that has just arrived.
     void admit(accepted_request request);
@@ -60,6 +61,7 @@
     void scheduleTimer();
     double draw() { return m_uniform(m_random); }
 
+    bool m_isOn;
     actions m_actions;
     asio::steady_timer m_timer;
     std::minstd_rand m_random { std::random_device {}() };
--- a/programs/gateway/request_handling.h
+++ b/programs/gateway/request_handling.h
@@ -45,6 +45,7 @@
     std::size_t missingParts = 0; // shards without a result in the answer
     std::size_t parts = 0; // shards of a query; 0 for other requests
     service_id admittedTo {}; // as in accepted_request
+    monotonic_time admittedAt {}; // as in accepted_request
     bool lackedSearchers = false; // failed because too few searchers could be sent to or replied
 };
 
@@ -70,6 +71,7 @@
     monotonic_time deadline; // the earlier of the client's and the route's deadline
     client_call clientCall;
     workspace_id workspace {}; // named by the client's key; empty if the configuration has no workspaces or the route needs no key
+    monotonic_time admittedAt {}; // if its admission was decided
     service_id admittedTo {}; // names the requests that it competes with; empty if its admission was not decided
     std::uint32_t priority = 0; // of the workspace or, if it has none, of the route; 0 is the highest
 };
--- a/src/coordination/request_admission.cc
+++ b/src/coordination/request_admission.cc
@@ -20,7 +20,7 @@
 // Weight of the latest request in the mean time of requests.
 constexpr double meanWeight = 0.2;
 
-// Between two reductions of the admitted share: those that were admitted before the first one still fail.
+// Between two reductions of the admitted share.
 constexpr milliseconds reductionInterval { 300 };
 
 // Factors of a reduction.
@@ -87,14 +87,8 @@
     auto& route = m_routes[candidate.route];
     route.priority = candidate.priority;
     route.work = candidate.work;
-    const double missing = shortage(now);
-    if (missing > 0 && candidate.fingerprint != 0) {
-        const auto refused = m_returnTimes.find(candidate.fingerprint);
-        if (refused != m_returnTimes.end() && now < refused->second)
-            return { admission_verdict::refuse, "early_repeat", refused->second, {} };
-    }
     const double surplusShare = recordArrival(route, candidate, now);
-    if (missing <= 0) {
+    if (shortage(now) <= 0 && route.ownLevel.at(now) >= 1) {
         ++m_running;
         return {};
     }
@@ -105,14 +99,14 @@
         ++m_running;
         return { admission_verdict::admit, "within_capacity", {}, {} };
     }
-    if (!isSurplus && isWaitWorthwhile(candidate)) {
+    if (!isSurplus && isWaitWorthwhile(candidate, now)) {
         const admission_ticket ticket(++m_lastTicket);
-        const auto until = now + candidate.objective / maxWaitDivisor;
+        const auto until = now + longestWait(candidate, now);
         const auto position = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) { return !precedes(candidate, other.candidate); });
         m_waiting.insert(position, { ticket, candidate, until });
         return { admission_verdict::wait, "capacity_expected", until, ticket };
     }
-    return { admission_verdict::refuse, isSurplus ? "workspace_surplus" : "shortage", recordRefusal(candidate, now, spread), {} };
+    return { admission_verdict::refuse, isSurplus ? "workspace_surplus" : "shortage", returnTime(candidate, now, spread), {} };
 }
 
 double request_admission::recordArrival(route_record& route, const admission_candidate& candidate, monotonic_time now)
@@ -135,11 +129,11 @@
     return surplusShare;
 }
 
-double request_admission::admissionProbability(const route_record& route, double admitted, bool isSurplus, monotonic_time now)
+double request_admission::admissionProbability(const route_record& route, double admitted, bool isSurplus, monotonic_time now) const
 {
     const double arrived = std::max(1.0, route.arrived.at(now));
     const double surplus = std::min(arrived, route.surplus.at(now));
-    const double least = reserve * admitted;
+    const double least = std::min(admitted, reserve * m_level.at(now));
     // Surplus requests bear as much of the loss as the reserve permits; the others bear the rest.
     const double lost = (1 - admitted) * arrived;
     const double lostSurplus = std::min(lost, surplus * (1 - least));
@@ -148,41 +142,40 @@
     return arrived > surplus ? clampShare(1 - (lost - lostSurplus) / (arrived - surplus)) : admitted;
 }
 
+milliseconds request_admission::longestWait(const admission_candidate& candidate, monotonic_time now)
+{
+    return std::min(candidate.objective / maxWaitDivisor, std::chrono::floor<milliseconds>(candidate.deadline - now));
+}
+
 // A place is expected when one of the running requests ends; earlier waiting requests take theirs first.
-bool request_admission::isWaitWorthwhile(const admission_candidate& candidate) const
+bool request_admission::isWaitWorthwhile(const admission_candidate& candidate, monotonic_time now) const
 {
-    if (m_waiting.size() >= m_running)
+    const auto longest = longestWait(candidate, now);
+    if (longest <= milliseconds(0) || m_waiting.size() >= m_running)
         return false;
     const double expected = m_meanMicroseconds * static_cast<double>(m_waiting.size() + 1) / static_cast<double>(m_running);
-    return expected <= static_cast<double>(microseconds(candidate.objective).count()) / maxWaitDivisor;
+    return expected <= static_cast<double>(microseconds(longest).count());
 }
 
-monotonic_time request_admission::recordRefusal(const admission_candidate& candidate, monotonic_time now, double spread)
+monotonic_time request_admission::returnTime(const admission_candidate& candidate, monotonic_time now, double spread) const
 {
-    const auto recovery = std::max(milliseconds(0), m_reducedAt ? std::chrono::duration_cast<milliseconds>(*m_reducedAt + recoveryTime - now) : milliseconds(0));
+    const auto route = m_routes.find(candidate.route);
+    const auto ownRecovery = route == m_routes.end() ? milliseconds(0) : route->second.ownLevel.recoveryLeft(now);
+    const auto recovery = std::max(m_level.recoveryLeft(now), ownRecovery);
     const auto delay = std::chrono::duration_cast<milliseconds>((recovery + shortestReturn) * (earliestReturnFactor + returnFactorRange * spread));
     const auto latest = std::chrono::duration_cast<milliseconds>(candidate.deadline - now) / latestReturnDivisor;
-    const auto returnAt = now + std::max(minReturnDelay, std::min(delay, latest));
-    if (candidate.fingerprint != 0) {
-        if (m_returnTimes.size() >= maxRefused)
-            std::erase_if(m_returnTimes, [&](const auto& item) { return item.second <= now; });
-        if (m_returnTimes.size() < maxRefused)
-            m_returnTimes[candidate.fingerprint] = returnAt;
-    }
-    return returnAt;
+    return now + std::max(minReturnDelay, std::min(delay, latest));
 }
 
-std::optional<admission_ticket> request_admission::recordEnd(admission_outcome outcome, microseconds elapsed, monotonic_time now)
+std::optional<admission_ticket> request_admission::recordEnd(const admission_end& ended, monotonic_time now)
 {
     --m_running;
-    if (outcome == admission_outcome::lacked_capacity) {
-        m_lacking.add(1, now);
-        reduceLevel(now);
-    }
-    if (outcome != admission_outcome::served)
+    if (ended.outcome == admission_outcome::lacked_capacity)
+        recordLack(ended, now);
+    if (ended.outcome != admission_outcome::served)
         return {};
-    m_served.add(1, now);
-    m_meanMicroseconds += (m_meanMicroseconds == 0 ? 1 : meanWeight) * (static_cast<double>(elapsed.count()) - m_meanMicroseconds);
+    m_routes[ended.route].served.add(1, now);
+    m_meanMicroseconds += (m_meanMicroseconds == 0 ? 1 : meanWeight) * (static_cast<double>(ended.elapsed.count()) - m_meanMicroseconds);
     if (m_waiting.empty() || m_waiting.back().until <= now)
         return {};
     const auto ticket = m_waiting.back().ticket;
@@ -197,7 +190,7 @@
     std::erase_if(m_waiting, [&](const waiting_request& waiting) {
         if (waiting.until > now)
             return false;
-        result.push_back({ waiting.ticket, recordRefusal(waiting.candidate, now, spread) });
+        result.push_back({ waiting.ticket, returnTime(waiting.candidate, now, spread) });
         return true;
     });
     return result;
@@ -216,36 +209,87 @@
     return result;
 }
 
-void request_admission::reduceLevel(monotonic_time now)
+// Failures of requests that were admitted before the last reduction are its cause, however late they arrive.
+void request_admission::recordLack(const admission_end& ended, monotonic_time now)
 {
-    const double lacking = m_lacking.at(now);
-    const double ended = m_served.at(now) + lacking;
-    if (lacking < minimumEvidence || lacking < tolerableFailures * ended || (m_reducedAt && now - *m_reducedAt < reductionInterval))
+    auto& route = m_routes[ended.route];
+    if (!m_level.isAfterReduction(ended.admittedAt) || !route.ownLevel.isAfterReduction(ended.admittedAt))
+        return;
+    route.lacking.add(1, now);
+
+    struct ends {
+        double served = 0;
+        double lacking = 0;
+
+        [[nodiscard]] double failedShare() const { return lacking > 0 ? lacking / (served + lacking) : 0; }
+        [[nodiscard]] bool isShort() const { return lacking >= minimumEvidence && failedShare() >= tolerableFailures; }
+    };
+    ends common;
+    std::vector<std::pair<ends, route_record*>> order;
+    for (auto& [name, record] : m_routes) {
+        const ends own { record.served.at(now), record.lacking.at(now) };
+        common.served += own.served;
+        common.lacking += own.lacking;
+        order.emplace_back(own, &record);
+    }
+    std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) { return left.first.failedShare() > right.first.failedShare(); });
+    // Routes that fail much more often than the rest say nothing of what the rest can have.
+    for (const auto& [own, record] : order) {
+        const ends rest { common.served - own.served, common.lacking - own.lacking };
+        if (rest.served < 1 || own.failedShare() < outlierFailures || own.failedShare() <= outlierFactor * rest.failedShare())
+            break;
+        common = rest;
+        if (record != &route || !own.isShort() || !record->ownLevel.isReducible(now))
+            continue;
+        record->ownLevel.reduce(own.failedShare(), now);
+        record->served = recent_count(recentTime);
+        record->lacking = recent_count(recentTime);
+    }
+    if (!common.isShort() || !m_level.isReducible(now))
         return;
-    m_levelBefore = admittedLevel(now);
-    m_reducedLevel = std::max(minimumAdmitted, m_levelBefore * std::clamp(1 - lacking / ended, strongestReduction, weakestReduction));
+    m_level.reduce(common.failedShare(), now);
+    for (auto& [name, record] : m_routes) {
+        record.served = recent_count(recentTime);
+        record.lacking = recent_count(recentTime);
+    }
+}
+
+bool admitted_level::isReducible(monotonic_time now) const { return !m_reducedAt || now - *m_reducedAt >= reductionInterval; }
+
+void admitted_level::reduce(double failedShare, monotonic_time now)
+{
+    m_before = at(now);
+    m_reduced = std::max(request_admission::minimumAdmitted, m_before * std::clamp(1 - failedShare, strongestReduction, weakestReduction));
     m_reducedAt = now;
 }
 
 // Returns to the level before the reduction in recoveryTime, slowly near it, and then grows ever faster, as in the CUBIC
 // congestion control (RFC 9438).
-double request_admission::admittedLevel(monotonic_time now) const
+double admitted_level::at(monotonic_time now) const
 {
     if (!m_reducedAt)
         return 1;
     const double progress = std::chrono::duration<double>(now - *m_reducedAt) / std::chrono::duration<double>(recoveryTime);
-    const double lost = std::max(m_levelBefore - m_reducedLevel, smallestStep);
-    return std::min(1.0, m_reducedLevel + lost + lost * std::pow(progress - 1, 3));
+    const double lost = std::max(m_before - m_reduced, smallestStep);
+    return std::min(1.0, m_reduced + lost + lost * std::pow(progress - 1, 3));
+}
+
+milliseconds admitted_level::recoveryLeft(monotonic_time now) const
+{
+    return m_reducedAt ? std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(*m_reducedAt + recoveryTime - now)) : milliseconds(0);
 }
 
-double request_admission::shortage(monotonic_time now) const { return 1 - admittedLevel(now); }
+double request_admission::shortage(monotonic_time now) const { return 1 - m_level.at(now); }
 
 double request_admission::admittedShare(const std::string& route, monotonic_time now) const
 {
     const double missing = shortage(now);
     const auto asked = m_routes.find(route);
-    if (missing <= 0 || asked == m_routes.end())
+    if (asked == m_routes.end())
         return 1;
+    const double own = asked->second.ownLevel.at(now);
+    if (missing <= 0)
+        return own;
     std::vector<const route_record*> order;
     double demand = 0;
     for (const auto& [name, record] : m_routes) {
@@ -257,11 +301,11 @@
     const double least = reserve * (1 - missing);
     double left = (1 - missing) * demand * (1 - reserve);
     for (const auto* record : order) {
-        const double wanted = record->work * record->arrived.at(now) * (1 - least);
+        const double wanted = record->work * record->arrived.at(now) * std::max(0.0, record->ownLevel.at(now) - least);
         const double given = std::min(wanted, left);
         left -= given;
         if (record == &asked->second)
-            return clampShare(least + (wanted > 0 ? (1 - least) * given / wanted : 0));
+            return clampShare(std::min(own, least + (wanted > 0 ? std::max(0.0, own - least) * given / wanted : 0)));
     }
     return 1;
 }
--- a/test/gateway_admission_test.cc
+++ b/test/gateway_admission_test.cc
@@ -10,7 +10,7 @@
 // Gateway with a service of two searchers, two of one each and, if isRanked, routes of more than one priority.
 class admission_fixture : public standins::gateway_fixture {
 public:
-    explicit admission_fixture(bool isRanked)
+    explicit admission_fixture(bool isRanked, bool givesWay = true)
     {
         for (const auto* id : { "a1", "a2" })
             addSearcher("a", id, "z");
@@ -18,6 +18,7 @@
         addSearcher("c", "c1", "x");
         const auto* ranked = R"(,{"name":"urgent","host":"h.example","prefix":"/urgent/","type":"safe","timeoutMs":400,"targetLatencyMs":100,"priority":0,"service":"a","maxAttempts":2})";
         writeConfiguration(1, isRanked ? ranked : "");
+        settings.givesWay = givesWay;
         startAndAwaitReady();
     }
 
@@ -71,4 +72,11 @@
         for (int request = 0; request < attempts; ++request)
             CHECK(fixture.sendRequest("/safe/x", "id" + std::to_string(request)).reply.status != 503);
     }
+    SECTION("admits all if its settings do not ask for admission")
+    {
+        admission_fixture fixture(true, false);
+        fixture.bringAboutShortage();
+        for (int request = 0; request < attempts; ++request)
+            CHECK(fixture.sendRequest("/safe/x", "id" + std::to_string(request)).reply.status != 503);
+    }
 }
--- a/test/request_admission_test.cc
+++ b/test/request_admission_test.cc
@@ -47,7 +47,7 @@
                 for (auto count = std::poisson_distribution<int>(from.perSecond * stepSeconds)(random); count > 0; --count) {
                     auto& tally = result[from.workspace.empty() ? from.route : from.workspace];
                     ++tally.sent;
-                    const admission_candidate candidate { from.route, from.priority, workspace_id(from.workspace), 0, from.work, milliseconds(0), now + milliseconds(1500) };
+                    const admission_candidate candidate { from.route, from.priority, workspace_id(from.workspace), from.work, milliseconds(0), now + milliseconds(1500) };
                     const auto decision = admission.decide(candidate, now, draw(), draw());
                     tally.admitted += decision.verdict == admission_verdict::admit ? 1 : 0;
                     tally.refused += decision.verdict == admission_verdict::refuse ? 1 : 0;
@@ -62,7 +62,7 @@
                 const bool served = draw() * work < left;
                 left -= served ? work : 0;
                 result[from->workspace.empty() ? from->route : from->workspace].served += served ? 1 : 0;
-                CHECK_FALSE(admission.recordEnd(served ? admission_outcome::served : admission_outcome::lacked_capacity, milliseconds(20), now + step));
+                CHECK_FALSE(admission.recordEnd({ served ? admission_outcome::served : admission_outcome::lacked_capacity, from->route, now, milliseconds(20) }, now + step));
             }
         }
         return result;
@@ -102,20 +102,26 @@
     return sources;
 }
 
-admission_candidate makeCandidate(std::uint32_t priority, milliseconds timeLeft, std::uint64_t fingerprint = 0)
+admission_candidate makeCandidate(std::uint32_t priority, milliseconds timeLeft, const std::string& workspace = "")
 {
-    return { "route" + std::to_string(priority), priority, {}, fingerprint, 1, milliseconds(500), start + timeLeft };
+    return { "route" + std::to_string(priority), priority, workspace_id(workspace), 1, milliseconds(500), start + timeLeft };
+}
+
+// End of a request of makeCandidate().
+admission_end makeEnd(admission_outcome outcome, monotonic_time admittedAt = start, std::uint32_t priority = 1)
+{
+    return { outcome, "route" + std::to_string(priority), admittedAt, milliseconds(20) };
 }
 
 // Fails requests until there is a shortage, with some requests still running and their mean time known.
-void bringAboutShortage(request_admission& admission, std::size_t running)
+void bringAboutShortage(request_admission& admission, std::size_t running, std::uint32_t priority = 1)
 {
     for (std::size_t index = 0; index < 20 + running; ++index)
-        REQUIRE(admission.decide(makeCandidate(1, milliseconds(1500)), start, 0, 0).verdict == admission_verdict::admit);
+        REQUIRE(admission.decide(makeCandidate(priority, milliseconds(1500)), start, 0, 0).verdict == admission_verdict::admit);
     for (int index = 0; index < 5; ++index)
-        REQUIRE_FALSE(admission.recordEnd(admission_outcome::served, milliseconds(20), start));
+        REQUIRE_FALSE(admission.recordEnd(makeEnd(admission_outcome::served, start, priority), start));
     for (int index = 0; index < 15; ++index)
-        REQUIRE_FALSE(admission.recordEnd(admission_outcome::lacked_capacity, milliseconds(20), start));
+        REQUIRE_FALSE(admission.recordEnd(makeEnd(admission_outcome::lacked_capacity, start, priority), start));
     REQUIRE(admission.shortage(start) > 0.2);
 }
 
@@ -133,7 +139,7 @@
         for (int request = 0; request < 1000; ++request) {
             REQUIRE(service.admission.decide(makeCandidate(2, milliseconds(1500)), service.now, 0.999, 0).verdict == admission_verdict::admit);
             const auto outcome = request % 12 == 0 ? admission_outcome::lacked_capacity : admission_outcome::served;
-            CHECK_FALSE(service.admission.recordEnd(outcome, milliseconds(20), service.now));
+            CHECK_FALSE(service.admission.recordEnd(makeEnd(outcome, service.now, 2), service.now));
             service.now += milliseconds(20);
         }
     }
@@ -141,7 +147,7 @@
     {
         for (int request = 0; request < 20; ++request) {
             REQUIRE(service.admission.decide(makeCandidate(2, milliseconds(1500)), service.now, 0.999, 0).verdict == admission_verdict::admit);
-            CHECK_FALSE(service.admission.recordEnd(request % 2 == 0 ? admission_outcome::lacked_capacity : admission_outcome::indifferent, milliseconds(20), service.now));
+            CHECK_FALSE(service.admission.recordEnd(makeEnd(request % 2 == 0 ? admission_outcome::lacked_capacity : admission_outcome::indifferent, service.now, 2), service.now));
             service.now += milliseconds(2500);
         }
     }
@@ -246,21 +252,89 @@
     }
 }
 
-TEST_CASE("A client that repeats a refused request too early spends only its own share")
+TEST_CASE("Repeats of a refused request, and the same request of another caller, are decided on like any other")
 {
     request_admission admission;
     bringAboutShortage(admission, 0);
-    const auto first = admission.decide(makeCandidate(2, milliseconds(1500), 7), start, 0.999, 0.5);
+    const auto first = admission.decide(makeCandidate(2, milliseconds(1500)), start, 0.999, 0.5);
     REQUIRE(first.verdict == admission_verdict::refuse);
     const auto shortage = admission.shortage(start);
-    for (int repeat = 0; repeat < 50; ++repeat) {
-        const auto decision = admission.decide(makeCandidate(2, milliseconds(1500), 7), start + milliseconds(1), 0, 0.5);
-        CHECK(decision.verdict == admission_verdict::refuse);
-        CHECK(decision.until == first.until); // no later than it was told first
-    }
+    for (int repeat = 0; repeat < 50; ++repeat)
+        CHECK(admission.decide(makeCandidate(2, milliseconds(1500)), start + milliseconds(1), 0.999, 0.5).verdict == admission_verdict::refuse);
     CHECK(admission.shortage(start + milliseconds(1)) == Approx(shortage).epsilon(0.01)); // nobody else is refused for it
-    CHECK(admission.decide(makeCandidate(1, milliseconds(1500), 8), start + milliseconds(1), 0, 0.5).verdict == admission_verdict::admit);
-    CHECK(admission.decide(makeCandidate(2, milliseconds(1500), 7), first.until, 0, 0.5).verdict == admission_verdict::admit);
+    CHECK(admission.decide(makeCandidate(1, milliseconds(1500)), start + milliseconds(1), 0, 0.5).verdict == admission_verdict::admit);
+    CHECK(admission.decide(makeCandidate(2, milliseconds(1500)), start + milliseconds(1), 0, 0.5).verdict == admission_verdict::admit);
+}
+
+TEST_CASE("A route that cannot be served takes no room of one that can")
+{
+    request_admission admission;
+    auto now = start;
+    const auto play = [&](admission_outcome outcome, std::uint32_t priority) {
+        if (admission.decide(makeCandidate(priority, milliseconds(60'000)), now, 0.5, 0.5).verdict == admission_verdict::admit)
+            CHECK_FALSE(admission.recordEnd(makeEnd(outcome, now, priority), now));
+    };
+    const auto failing = GENERATE(0U, 2U);
+    for (int request = 0; request < 100; ++request, now += milliseconds(50)) {
+        play(admission_outcome::served, 1);
+        play(admission_outcome::lacked_capacity, failing);
+        REQUIRE(admission.admittedShare("route1", now) == 1);
+    }
+    CHECK(admission.admittedShare("route" + std::to_string(failing), now) < 0.6);
+
+    SECTION("and is admitted again soon after it can")
+    {
+        for (int request = 0; request < 100; ++request, now += milliseconds(50))
+            play(admission_outcome::served, failing);
+        CHECK(admission.admittedShare("route" + std::to_string(failing), now) == 1);
+    }
+}
+
+TEST_CASE("Failures of one moment reduce the admitted share once, however late they arrive")
+{
+    request_admission admission;
+    constexpr int requests = 20;
+    for (int request = 0; request < requests; ++request)
+        REQUIRE(admission.decide(makeCandidate(1, milliseconds(1500)), start + request * milliseconds(50), 0, 0).verdict == admission_verdict::admit);
+    double worst = 0;
+    for (int request = 0; request < requests; ++request) {
+        const auto end = start + milliseconds(2000) + request * milliseconds(50);
+        CHECK_FALSE(admission.recordEnd(makeEnd(admission_outcome::lacked_capacity, start + request * milliseconds(50)), end));
+        worst = std::max(worst, admission.shortage(end));
+    }
+    CHECK(worst > 0);
+    CHECK(worst <= 0.5); // one reduction at most halves it
+
+    SECTION("but failures of requests admitted later reduce it again")
+    {
+        const auto now = start + milliseconds(3000);
+        const auto before = admission.shortage(now);
+        for (int request = 0; request < requests; ++request)
+            REQUIRE(admission.decide(makeCandidate(1, milliseconds(1500)), now, 0, 0).verdict == admission_verdict::admit);
+        for (int request = 0; request < requests; ++request)
+            CHECK_FALSE(admission.recordEnd(makeEnd(admission_outcome::lacked_capacity, now), now + milliseconds(20)));
+        CHECK(admission.shortage(now + milliseconds(20)) > before);
+    }
+}
+
+TEST_CASE("A busy workspace on the least urgent route is admitted at least a quarter as often as all")
+{
+    request_admission admission;
+    bringAboutShortage(admission, 0, 0);
+    for (int request = 0; request < 1000; ++request)
+        admission.decide(makeCandidate(0, milliseconds(1500)), start, 0.999, 0);
+    for (int request = 0; request < 60; ++request)
+        admission.decide(makeCandidate(2, milliseconds(1500), "busy"), start, 0.999, 0);
+    for (int other = 0; other < 400; ++other)
+        admission.decide(makeCandidate(2, milliseconds(1500), "other" + std::to_string(other)), start, 0.999, 0);
+    constexpr int requests = 100;
+    int admitted = 0;
+    for (int request = 0; request < requests; ++request) {
+        const double draw = (request * 37 % requests + 0.5) / requests; // each part of the range once
+        admitted += admission.decide(makeCandidate(2, milliseconds(1500), "busy"), start, draw, 0).verdict == admission_verdict::admit ? 1 : 0;
+    }
+    CHECK(admitted >= requests * (1 - admission.shortage(start)) / 4);
+    CHECK(admitted < requests * (1 - admission.shortage(start))); // there is a shortage for it
 }
 
 TEST_CASE("Refused clients are told to return at different times, within a third of the time that they have left")
@@ -281,35 +355,36 @@
 TEST_CASE("A request waits if a place is expected soon")
 {
     request_admission admission;
-    bringAboutShortage(admission, 3);
+    bringAboutShortage(admission, 3, 0);
     const auto late = admission.decide(makeCandidate(2, milliseconds(900)), start, 0.999, 0.5);
     const auto urgent = admission.decide(makeCandidate(0, milliseconds(2000)), start, 0.999, 0.5);
     const auto early = admission.decide(makeCandidate(2, milliseconds(700)), start, 0.999, 0.5);
     REQUIRE(late.verdict == admission_verdict::wait);
+    REQUIRE(urgent.verdict == admission_verdict::wait);
     REQUIRE(early.verdict == admission_verdict::wait);
     CHECK(late.until <= start + milliseconds(500) / 4);
+    const auto served = makeEnd(admission_outcome::served, start, 0);
 
     SECTION("but no more wait than run")
     {
-        if (urgent.verdict == admission_verdict::wait)
-            CHECK(admission.decide(makeCandidate(2, milliseconds(700)), start, 0.999, 0.5).verdict == admission_verdict::refuse);
+        CHECK(admission.decide(makeCandidate(2, milliseconds(700)), start, 0.999, 0.5).verdict == admission_verdict::refuse);
     }
     SECTION("and takes the place of one that was served, by priority and then by deadline")
     {
-        if (urgent.verdict == admission_verdict::wait)
-            CHECK(admission.recordEnd(admission_outcome::served, milliseconds(20), start) == urgent.ticket);
-        CHECK(admission.recordEnd(admission_outcome::served, milliseconds(20), start) == early.ticket);
-        CHECK(admission.recordEnd(admission_outcome::served, milliseconds(20), start) == late.ticket);
+        CHECK(admission.recordEnd(served, start) == urgent.ticket);
+        CHECK(admission.recordEnd(served, start) == early.ticket);
+        CHECK(admission.recordEnd(served, start) == late.ticket);
+        CHECK_FALSE(admission.recordEnd(served, start));
     }
     SECTION("but not of one that failed")
     {
-        CHECK_FALSE(admission.recordEnd(admission_outcome::lacked_capacity, milliseconds(20), start));
+        CHECK_FALSE(admission.recordEnd(makeEnd(admission_outcome::lacked_capacity, start, 0), start));
     }
     SECTION("and is refused once its wait is over")
     {
         CHECK(admission.nextExpiry() == late.until);
         const auto expired = admission.takeExpired(late.until, 0.5);
-        REQUIRE(expired.size() >= 2);
+        REQUIRE(expired.size() == 3);
         CHECK(expired.front().returnAt > late.until);
         CHECK(admission.nextExpiry() == monotonic_time::max());
     }
@@ -317,10 +392,21 @@
     {
         admission.abandon(early.ticket);
         admission.abandon(urgent.ticket);
-        CHECK(admission.recordEnd(admission_outcome::served, milliseconds(20), start) == late.ticket);
+        CHECK(admission.recordEnd(served, start) == late.ticket);
     }
 }
 
+TEST_CASE("A request waits no longer than its deadline")
+{
+    request_admission admission;
+    bringAboutShortage(admission, 3, 0);
+    const auto hurried = admission.decide(makeCandidate(2, milliseconds(30)), start, 0.999, 0.5);
+    REQUIRE(hurried.verdict == admission_verdict::wait);
+    CHECK(hurried.until <= start + milliseconds(30));
+    CHECK(admission.decide(makeCandidate(2, milliseconds(0)), start, 0.999, 0.5).verdict == admission_verdict::refuse);
+    CHECK(admission.decide(makeCandidate(2, milliseconds(-5)), start, 0.999, 0.5).verdict == admission_verdict::refuse);
+}
+
 TEST_CASE("Wrong estimates of the needed work starve nobody")
 {
     auto sources = multiply(usualLoad, 2.5);
