--- a/test/request_admission_test.cc
+++ b/test/request_admission_test.cc
@@ -320,14 +320,14 @@
 TEST_CASE("A busy workspace on the least urgent route is admitted at least a quarter as often as all")
 {
     request_admission admission;
-    admission.decide(makeCandidate(2, milliseconds(1500), "busy"), start - std::chrono::minutes(10), 0, 0); // it is known as a small one
+    static_cast<void>(admission.decide(makeCandidate(2, milliseconds(1500), "busy"), start - std::chrono::minutes(10), 0, 0)); // it is known as a small one
     bringAboutShortage(admission, 0, 0);
     for (int request = 0; request < 1000; ++request)
-        admission.decide(makeCandidate(0, milliseconds(1500)), start, 0.999, 0);
+        static_cast<void>(admission.decide(makeCandidate(0, milliseconds(1500)), start, 0.999, 0));
     for (int request = 0; request < 60; ++request)
-        admission.decide(makeCandidate(2, milliseconds(1500), "busy"), start, 0.999, 0);
+        static_cast<void>(admission.decide(makeCandidate(2, milliseconds(1500), "busy"), start, 0.999, 0));
     for (int other = 0; other < 400; ++other)
-        admission.decide(makeCandidate(2, milliseconds(1500), "other" + std::to_string(other)), start, 0.999, 0);
+        static_cast<void>(admission.decide(makeCandidate(2, milliseconds(1500), "other" + std::to_string(other)), start, 0.999, 0));
     constexpr int requests = 100;
     int admitted = 0;
     for (int request = 0; request < requests; ++request) {
