--- a/include/limpetpier/transport/events.h
+++ b/include/limpetpier/transport/events.h
@@ -80,6 +80,7 @@
     request_unauthorized = 630,
     client_given_up = 608,
     part_failed = 607,
+    request_held_back = 631,
     readiness_changed = 105,
     log_left_out = 106,
 };
--- a/programs/gateway/gateway.h
+++ b/programs/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway_metrics.h"
 #include "limpetpier/coordination/stop_schedule.h"
 #include "limpetpier/coordination/traffic_split.h"
+#include "request_gate.h"
 #include "request_handling.h"
 #include "rollouts.h"
 #include "workspace_limiter.h"
@@ -41,6 +42,8 @@
     void startWithinLimit(accepted_request run);
     void refuseBeyondLimit(accepted_request& run, const permit_decision& decision);
     void startRequest(accepted_request run);
+    void refuse(accepted_request run, monotonic_time returnAt);
+    void recordAdmission(const accepted_request& run, const request_gate::verdict& verdict);
 
     void handleReady(client_call call);
     void handleMetrics(const http_request& request, client_call call);
@@ -63,6 +66,7 @@
     request_handler_context m_context;
     std::map<std::string, route_statistics> m_routeRecords; // by route name
     std::map<std::string, traffic_split> m_trafficSplits; // by route name
+    request_gate m_gate;
     deployment_view m_view;
     rollouts m_rollouts;
     workspace_limiter m_limiter;
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -3,6 +3,7 @@
 #include <set>
 #include <string>
 
+#include "limpetpier/coordination/request_admission.h"
 #include "limpetpier/transport/metadata_store.h"
 #include "limpetpier/transport/metrics.h"
 #include "request_handling.h"
@@ -17,6 +18,9 @@
     // Counts a finished request with its sends and parts.
     void record(const request_report& ended);
 
+    // Counts a decision on the admission of a request.
+    void recordAdmission(const std::string& route, const admission_decision& decision);
+
     // Counts the decision on a request of a limited workspace, with the time that it took.
     void recordPermit(const permit_decision& decision);
 
--- a/src/transport/events.cc
+++ b/src/transport/events.cc
@@ -77,6 +77,7 @@
     event_entry { event::call_failed, event_level::info, "call_failed", log_importance::routine },
     event_entry { event::part_missing, event_level::info, "part_missing", log_importance::routine },
     event_entry { event::part_failed, event_level::info, "part_failed" },
+    event_entry { event::request_held_back, event_level::info, "request_held_back", log_importance::routine },
     event_entry { event::request_unrouted, event_level::info, "request_unrouted", log_importance::routine },
     event_entry { event::request_unauthorized, event_level::info, "request_unauthorized", log_importance::routine },
     event_entry { event::client_given_up, event_level::warning, "client_given_up", log_importance::routine },
