A restarted keeper of a limit is told from a new one by when it read the list

Change: the entry in the list counts as a predecessor's if the read of the list began before the own entry was first sent.

--- a/include/limpetpier/transport/store_follower.h
+++ b/include/limpetpier/transport/store_follower.h
@@ -62,6 +62,9 @@
     // Returns false from a failed call until the next successful read or watch.
     [[nodiscard]] bool isReachable() const { return m_outages.isAvailable(); }
 
+    // Returns when the latest read of all keys began, or the zero time if there was none.
+    [[nodiscard]] monotonic_time readStartedAt() const { return m_readStartedAt; }
+
     // Returns the time of the last successful read or watch, or the zero time if there was none.
     [[nodiscard]] monotonic_time lastAnswer() const { return m_lastAnswer; }
 
@@ -109,6 +112,7 @@
     outage_record m_outages;
     milliseconds m_retryDelay = initialRetryDelay;
     monotonic_time m_lastAnswer {};
+    monotonic_time m_readStartedAt {};
     std::uint64_t m_callId = 0; // of the latest call; answers to earlier calls are ignored
 };
 
--- a/programs/gateway/deployment_view.cc
+++ b/programs/gateway/deployment_view.cc
@@ -166,7 +166,7 @@
     m_changes.rules = true;
     const bool isListed = m_membership.members().contains(m_settings.node);
     if (!m_wasListedBefore)
-        m_wasListedBefore = isListed && !m_membership.hasSentEntry();
+        m_wasListedBefore = isListed && m_storeFollower.readStartedAt() < m_membership.entrySentAt();
     const bool wasListedBefore = !m_settled && isListed;
     updateMembers();
     m_settled = m_settled || wasListedBefore; // after a restart the list from before it is still complete
@@ -364,7 +364,7 @@
         m_membership.put(view.members[index], view.memberEntries[index]);
     m_settled = true;
     if (!m_wasListedBefore)
-        m_wasListedBefore = m_membership.members().contains(m_settings.node) && !m_membership.hasSentEntry();
+        m_wasListedBefore = m_membership.members().contains(m_settings.node) && m_membership.entrySentAt() == monotonic_time::max();
     updateMembers();
 }
 
--- a/programs/gateway/membership.cc
+++ b/programs/gateway/membership.cc
@@ -1,5 +1,7 @@
 #include "membership.h"
 
+#include <algorithm>
+
 namespace limpetpier {
 
 namespace {
@@ -70,7 +72,7 @@
 
 void membership::writeOwnEntry(lease_id lease)
 {
-    m_entrySent = true;
+    m_entrySentAt = std::min(m_entrySentAt, monotonic_clock::now());
     m_store.write(memberKeyPrefix + m_ownId.value(), encode(m_ownEntry), lease, [this, lease, callId = ++m_callId, sentAt = monotonic_clock::now()](store_result result) {
         if (m_leaving || callId != m_callId)
             return;
--- a/programs/gateway/membership.h
+++ b/programs/gateway/membership.h
@@ -30,8 +30,8 @@
     // Acquires the lease and writes the entry of this process; retries until both succeed.
     void start();
 
-    // Returns whether this process has sent its own entry to the store.
-    [[nodiscard]] bool hasSentEntry() const { return m_entrySent; }
+    // When this process first sent its own entry to the store; the maximum before.
+    [[nodiscard]] monotonic_time entrySentAt() const { return m_entrySentAt; }
 
     // Renews the lease now if the store has been silent for minSilenceBeforeProbe, to find out whether it still answers.
     void probeStore();
@@ -43,9 +43,6 @@
     // Ends the lease, which removes this process from the list, and stops renewing it.
     void leave();
 
-    // Returns whether this process has tried to write its entry since it started.
-    [[nodiscard]] bool hasSentEntry() const { return m_entrySent; }
-
     // When the store last answered a call of this process or its watch.
     [[nodiscard]] monotonic_time lastStoreAnswer() const;
 
@@ -98,7 +95,7 @@
     monotonic_time m_renewedAt {}; // last renewal, or the write of the entry under a new lease
     monotonic_time m_watchCheckedAt {};
     bool m_renewing = false;
-    bool m_entrySent = false;
+    monotonic_time m_entrySentAt = monotonic_time::max();
     std::uint64_t m_callId = 0; // of the latest call; answers to earlier calls are ignored
     bool m_leaving = false;
     std::map<node_id, member> m_members;
--- a/src/transport/store_follower.cc
+++ b/src/transport/store_follower.cc
@@ -26,6 +26,7 @@
 {
     m_isLoaded = false;
     m_loadedItems.clear();
+    m_readStartedAt = monotonic_clock::now();
     m_revision = {};
     readPage({});
 }
--- a/test/gateway_door_test.cc
+++ b/test/gateway_door_test.cc
@@ -54,6 +54,7 @@
     door_fixture fixture({ limit });
     const auto& address = GENERATE(true, false) ? fixture.settings.clientAddress : fixture.settings.readyAddress;
     std::vector<std::shared_ptr<std::optional<exchange_result>>> results;
+    results.reserve(crowd);
     for (int client = 0; client < crowd; ++client)
         results.push_back(fixture.send(address, incompleteRequest));
     fixture.runFor(milliseconds(100));
