--- a/test/sustained_share_test.cc
+++ b/test/sustained_share_test.cc
@@ -82,6 +82,12 @@
 constexpr double slack = 20;
 constexpr double requestShare = 0.2;
 
+// What a process knows of its part of the limit.
+struct process_state {
+    sustained_share share { window, maxSilence };
+    retry_allowance allowance { requestShare, 0, window };
+};
+
 // Machines whose processes join, leave, die, freeze and restart, and which use as many extra sends as they may.
 class shared_limit_history {
 public:
@@ -129,11 +135,6 @@
 private:
     static constexpr milliseconds leaseTime { 6000 };
 
-    struct process_state {
-        sustained_share share { window, maxSilence };
-        retry_allowance allowance { requestShare, 0, window };
-    };
-
     struct machine_state {
         std::optional<process_state> process;
         bool frozen = false;
