--- a/test/request_admission_test.cc
+++ b/test/request_admission_test.cc
@@ -56,11 +56,11 @@
                 }
             }
             std::shuffle(admitted.begin(), admitted.end(), random);
-            left = std::min(left, capacity * queuedSeconds) + capacity * stepSeconds;
+            m_unused = std::min(m_unused, capacity * queuedSeconds) + capacity * stepSeconds;
             for (const auto& [from, candidate] : admitted) {
                 const double work = chargesByWork ? from->work : 1;
-                const bool served = draw() * work < left;
-                left -= served ? work : 0;
+                const bool served = draw() * work < m_unused;
+                m_unused -= served ? work : 0;
                 result[from->workspace.empty() ? from->route : from->workspace].served += served ? 1 : 0;
                 CHECK_FALSE(admission.recordEnd({ served ? admission_outcome::served : admission_outcome::lacked_capacity, from->route, now, milliseconds(20) }, now + step));
             }
@@ -80,7 +80,7 @@
     static constexpr milliseconds step { 100 };
     static constexpr double stepSeconds = 0.1;
     static constexpr double queuedSeconds = 0.1;
-    double left = 0; // capacity that is not used yet
+    double m_unused = 0; // capacity
 };
 
 double totalServedShare(const std::map<std::string, tally>& tallies)
@@ -232,7 +232,9 @@
 TEST_CASE("A workspace at seven times its usual load does not push out the others")
 {
     std::vector<source> sources;
-    for (int index = 0; index < 10; ++index)
+    constexpr int workspaces = 10;
+    sources.reserve(workspaces);
+    for (int index = 0; index < workspaces; ++index)
         sources.push_back({ "route", 1, 8, 1, "w" + std::to_string(index) });
     loaded_service service(100);
     service.run(sources, milliseconds(20'000));
