--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Gateways are added while a searcher is cold. Exits with 1 if FAILBACK was broken.
-exec "$(dirname "$0")/../run-case-2.sh" "$(dirname "$0")" join_cold
+# A gateway is killed and started again while a searcher is cold. Exits with 1 if FAILBACK was broken.
+exec "$(dirname "$0")/../run-case-2.sh" "$(dirname "$0")" kill_cold
