--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -19,6 +19,9 @@
     double warmupS = 3;
     int boundMs = 3000; // drainMs and configApplyMs
     int zones = 2; // of gateways and requesters
+    int maxConns = 40; // of a searcher
+    double crashesAt = 1.1; // share of the bound at which a cold searcher crashes
+    ms workTime { 5 };
 };
 
 class deployment {
@@ -30,7 +33,7 @@
         , m_store(io)
     {
         m_store.put("op/config", json::serialize(json::object { { "version", 1 }, { "routes", json::array { describeRoute("lookup", "safe"), describeRoute("order", "unsafe") } },
-            { "services", json::array { json::object { { "name", "orders" }, { "healthPath", "/healthz" }, { "maxConns", 40 }, { "protocol", "h1" }, { "tls", false }, { "warmupS", options.warmupS }, { "coldPerS", options.coldPerS } } } },
+            { "services", json::array { json::object { { "name", "orders" }, { "healthPath", "/healthz" }, { "maxConns", options.maxConns }, { "protocol", "h1" }, { "tls", false }, { "warmupS", options.warmupS }, { "coldPerS", options.coldPerS } } } },
             { "limits", json::object { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 262144 }, { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } } } }));
         for (int number = 0; number < options.gateways; ++number)
             addGateway();
@@ -66,7 +69,7 @@
     searcher& addSearcher(double warmupS)
     {
         const auto number = searchers.size();
-        searchers.push_back(std::make_unique<searcher>(m_io, m_store, m_settings.subnet + ".100", searcher::properties { "i-" + std::to_string(7001 + number), "orders", "zone-d", 4, ms(5), ms(static_cast<int>(warmupS * 1000)), coldBound() }));
+        searchers.push_back(std::make_unique<searcher>(m_io, m_store, m_settings.subnet + ".100", searcher::properties { "i-" + std::to_string(7001 + number), "orders", "zone-d", 4, m_options.workTime, ms(static_cast<int>(warmupS * 1000)), m_options.crashesAt / 1.1 * coldBound() }));
         record.line("searcher %s starts, cold for %.1f s", searchers.back()->id().c_str(), warmupS);
         return *searchers.back();
     }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -101,16 +101,13 @@
 
     server(asio::io_context& io, const std::string& ip, unsigned short port, handler handle)
         : m_acceptor(io, tcp::endpoint(asio::ip::make_address(ip), port))
+        , m_endpoint(m_acceptor.local_endpoint())
         , m_handle(std::move(handle))
     {
         asio::co_spawn(io, accept(), asio::detached);
     }
 
-    [[nodiscard]] std::string address() const
-    {
-        const auto endpoint = m_acceptor.local_endpoint();
-        return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-    }
+    [[nodiscard]] std::string address() const { return m_endpoint.address().to_string() + ":" + std::to_string(m_endpoint.port()); }
 
     // Refuses new connections from now on.
     void stop()
@@ -119,6 +116,26 @@
         m_acceptor.close(ignored);
     }
 
+    // Closes all connections and refuses new ones, until startAgain.
+    void crash()
+    {
+        stop();
+        boost::system::error_code ignored;
+        for (auto* socket : m_sockets)
+            socket->close(ignored);
+    }
+
+    asio::any_io_executor executor() { return m_acceptor.get_executor(); }
+
+    void startAgain()
+    {
+        m_acceptor.open(m_endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(m_endpoint);
+        m_acceptor.listen();
+        asio::co_spawn(m_acceptor.get_executor(), accept(), asio::detached);
+    }
+
 private:
     awaitable<void> accept()
     {
@@ -135,6 +152,7 @@
 
     awaitable<void> serve(tcp::socket socket)
     {
+        m_sockets.insert(&socket);
         try {
             beast::flat_buffer buffer;
             for (;;) {
@@ -150,11 +168,14 @@
                     break;
             }
         } catch (const std::exception&) {
-            // the peer closed the connection
+            // the peer closed the connection, or crash did
         }
+        m_sockets.erase(&socket);
     }
 
     tcp::acceptor m_acceptor;
+    tcp::endpoint m_endpoint;
+    std::set<tcp::socket*> m_sockets; // open connections
     handler m_handle;
 };
 
@@ -484,7 +505,41 @@
         , m_server(io, ip, 0, [this](request_type& request, bool&) { return handle(request); })
     {
         m_coldUntil = clock_type::now() + m_values.coldTime;
-        asio::co_spawn(io, beat(), asio::detached);
+        asio::co_spawn(io, beat(m_start), asio::detached);
+    }
+
+    // Ends the process without a word: all connections close, and the work is lost.
+    void crash()
+    {
+        record.line("searcher %s crashes", m_values.id.c_str());
+        ++m_start;
+        m_isDown = true;
+        m_server.crash();
+        m_atWork.clear();
+    }
+
+    // Starts the process again after crash, under the same id and address and cold. It writes its entry at once.
+    void startAgain(ms coldTime)
+    {
+        m_isDown = false;
+        m_values.coldTime = coldTime;
+        m_bornMs = std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count();
+        m_draining = false;
+        m_seq = 0;
+        m_written = -1;
+        m_coldUntil = clock_type::now() + m_values.coldTime;
+        m_coldArrivals.clear(); // counted are those of one process only
+        record.line("searcher %s starts again, cold for %lld ms", m_values.id.c_str(), static_cast<long long>(m_values.coldTime.count()));
+        m_server.startAgain();
+        asio::co_spawn(m_server.executor(), beat(m_start), asio::detached);
+    }
+
+    // Reports draining at once.
+    void drain()
+    {
+        m_draining = true;
+        record.line("searcher %s reports draining", m_values.id.c_str());
+        writeEntry();
     }
 
     // Becomes cold again for its cold time.
@@ -498,20 +553,24 @@
 private:
     [[nodiscard]] std::int64_t coldLeft() const { return std::max<std::int64_t>(0, std::chrono::duration_cast<ms>(m_coldUntil - clock_type::now()).count()); }
 
-    awaitable<void> beat()
+    void writeEntry()
     {
-        std::int64_t written = -1;
-        for (std::uint64_t seq = 1; !m_crashed; ++seq) {
-            if (coldLeft() != written) {
-                written = coldLeft();
-                m_store.put("servers/" + m_values.id, json::serialize(json::object { { "service", m_values.service }, { "address", m_server.address() }, { "zone", m_values.zone }, { "version", "v1" }, { "slots", m_values.slots }, { "state", "ready" }, { "coldLeftMs", written }, { "seq", seq }, { "born", m_bornMs } }));
-                if (m_values.coldTime.count() > 0)
-                    record.line("searcher %s: heartbeat, cold for %lld ms more", m_values.id.c_str(), static_cast<long long>(written));
-            }
+        m_written = coldLeft();
+        m_store.put("servers/" + m_values.id, json::serialize(json::object { { "service", m_values.service }, { "address", m_server.address() }, { "zone", m_values.zone }, { "version", "v1" }, { "slots", m_values.slots }, { "state", m_draining ? "draining" : "ready" }, { "coldLeftMs", m_written }, { "seq", ++m_seq }, { "born", m_bornMs } }));
+        if (m_values.coldTime.count() > 0)
+            record.line("searcher %s: heartbeat, cold for %lld ms more", m_values.id.c_str(), static_cast<long long>(m_written));
+    }
+
+    awaitable<void> beat(std::uint64_t start)
+    {
+        while (!m_crashed && start == m_start) {
+            if (coldLeft() != m_written)
+                writeEntry();
             co_await sleepFor(ms(1200));
         }
         co_await sleepFor(ms(3600)); // three heartbeats of silence
-        m_store.remove("servers/" + m_values.id);
+        if (m_crashed || m_isDown)
+            m_store.remove("servers/" + m_values.id);
     }
 
     void recordColdArrival(const std::string& id)
@@ -575,7 +634,12 @@
     properties m_values;
     std::int64_t m_bornMs;
     time_point m_coldUntil;
-    bool m_crashed = false;
+    bool m_crashed = false; // for good, after too many requests
+    bool m_isDown = false; // between crash and startAgain
+    bool m_draining = false;
+    std::uint64_t m_start = 0; // number of crashes so far
+    std::uint64_t m_seq = 0;
+    std::int64_t m_written = -1; // cold time in the entry
     std::set<std::string> m_atWork;
     std::set<std::string> m_lostWork;
     std::uint32_t m_busy = 0;
