--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A cold searcher becomes cold again. Exits with 1 if FAILBACK was broken.
-exec "$(dirname "$0")/../run-case-2.sh" "$(dirname "$0")" cold_again
+# A gateway is killed and started again while a searcher is cold. Exits with 1 if FAILBACK was broken.
+exec "$(dirname "$0")/../run-case-2.sh" "$(dirname "$0")" kill_cold
